--- /dev/null
+++ b/cmd/rig/caller.go
@@ -0,0 +1,316 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Kind is one kind of call of a deployment.
+type Kind struct {
+	Service string
+	Path    string
+	Method  string
+	Share   int
+	Keys    int
+	Tail    bool
+}
+
+// Deployment is one of the two users' mixes and rates.
+type Deployment struct {
+	Name     string
+	Rate     int
+	Kinds    []Kind
+	Services map[string]int
+	Keyed    map[string]bool
+	Document string
+	Home     map[string][]string
+}
+
+var deployments = map[string]Deployment{
+	"office": {Name: "office", Rate: 300,
+		Kinds:    []Kind{{"ledger", "/balances", "GET", 45, 0, true}, {"declarations", "/filed", "GET", 35, 0, true}, {"payments", "/advance", "POST", 20, 0, false}},
+		Services: map[string]int{"ledger": 14, "declarations": 12, "payments": 16},
+		Home:     map[string][]string{"payments": {"north", "south"}, "ledger": nil, "declarations": {"north", "east"}},
+		Document: `{"entries":[
+ {"service":"ledger","path":"/balances","methods":["GET"],"repeat_safe":["GET"]},
+ {"service":"declarations","path":"/filed","methods":["GET"],"repeat_safe":["GET"],"home_regions":["north","east"]},
+ {"service":"payments","path":"/advance","methods":["POST"],"repeat_safe":[],"home_regions":["north","south"]}]}`},
+	"port": {Name: "port", Rate: 900,
+		Kinds:    []Kind{{"gates", "/windows", "GET", 40, 0, true}, {"berths", "/schedules", "GET", 38, 0, true}, {"slots", "/bookings", "POST", 22, 400, false}},
+		Services: map[string]int{"gates": 14, "berths": 12, "slots": 16}, Keyed: map[string]bool{"slots": true},
+		Home: map[string][]string{"slots": {"south", "east"}},
+		Document: `{"entries":[
+ {"service":"gates","path":"/windows","methods":["GET"],"repeat_safe":["GET"]},
+ {"service":"berths","path":"/schedules","methods":["GET"],"repeat_safe":["GET"]},
+ {"service":"slots","path":"/bookings","methods":["POST"],"repeat_safe":[],"keyed":true,"home_regions":["south","east"]}]}`},
+}
+
+type matched struct {
+	Proxies []struct {
+		Address, District, Region string
+	} `json:"proxies"`
+	Origin  string `json:"origin"`
+	Version uint64 `json:"version"`
+	LiveMs  int64  `json:"live_ms"`
+	at      time.Time
+}
+
+// Callers make the load.
+type Callers struct {
+	history    *History
+	fleet      *Fleet
+	deployment Deployment
+	clients    []*http.Client
+	lock       sync.Mutex
+	matches    map[string]*matched
+	random     *rand.Rand
+	serial     int
+	hotKey     bool
+	group      sync.WaitGroup
+}
+
+func newCallers(h *History, f *Fleet, d Deployment, seed int64) *Callers {
+	c := &Callers{history: h, fleet: f, deployment: d, matches: map[string]*matched{}, random: rand.New(rand.NewSource(seed))}
+	for zone := range places {
+		dialer := &net.Dialer{Timeout: 700 * time.Millisecond, LocalAddr: &net.TCPAddr{IP: net.ParseIP(fmt.Sprintf("127.30.%d.1", zone))}}
+		c.clients = append(c.clients, &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 64, IdleConnTimeout: 3 * time.Second}})
+	}
+	return c
+}
+
+func (c *Callers) draw(n int) int {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	return c.random.Intn(n)
+}
+
+func (c *Callers) run(ctx context.Context, rate int) {
+	pause := time.Second / time.Duration(rate)
+	next := time.Now()
+	for ctx.Err() == nil {
+		if wait := time.Until(next); wait > 0 {
+			time.Sleep(wait)
+		}
+		next = next.Add(pause)
+		c.group.Go(c.call)
+	}
+	c.group.Wait()
+}
+
+func (c *Callers) call() {
+	pick := c.draw(100)
+	var kind Kind
+	for _, kind = range c.deployment.Kinds {
+		if pick -= kind.Share; pick < 0 {
+			break
+		}
+	}
+	c.lock.Lock()
+	c.serial++
+	attempt := fmt.Sprintf("caller-%08d", c.serial)
+	c.lock.Unlock()
+	path := kind.Path
+	if kind.Tail {
+		path += fmt.Sprintf("/%d", c.draw(5000))
+	}
+	key := ""
+	if kind.Keys > 0 {
+		key = fmt.Sprintf("terminal-%d", c.draw(kind.Keys))
+		if c.hotKey && c.draw(10) < 6 {
+			key = "terminal-hot"
+		}
+	}
+	c.Do(kind, path, key, attempt, c.draw(len(c.clients)), 5*time.Second)
+}
+
+// Do carries one attempt to its end as an honest caller would.
+func (c *Callers) Do(kind Kind, path, key, attempt string, zone int, wait time.Duration) *Call {
+	h := c.history
+	call := &Call{At: h.now(), Service: kind.Service, Path: path, Attempt: attempt, IsUnsafe: kind.Method != "GET"}
+	until := time.Now().Add(wait)
+	isDoubtful := false
+	var origin string
+	for call.Sends < 12 {
+		left := time.Until(until)
+		if left <= 0 {
+			break
+		}
+		m, later := c.match(kind, zone, left)
+		if m == nil {
+			if time.Until(until) < later {
+				break
+			}
+			time.Sleep(later)
+			continue
+		}
+		_ = origin
+		origin = m.Origin
+		call.Sends++
+		reply := c.send(kind, path, key, attempt, zone, m, left, call.Sends)
+		record(h, &h.Replies, reply)
+		call.Last = reply.Kind + " " + reply.Broken
+		switch {
+		case reply.Outcome == "sealed":
+			call.Outcome = "sealed"
+		case reply.Outcome == "declined":
+			if reply.Status < 500 && reply.Status != 409 {
+				call.Outcome = "declined"
+				break
+			}
+			c.forget(kind, zone)
+			if time.Until(until) > reply.Later+50*time.Millisecond {
+				time.Sleep(reply.Later + time.Duration(c.draw(200))*time.Millisecond)
+				continue
+			}
+			call.Outcome = "declined"
+		default:
+			c.forget(kind, zone)
+			isDoubtful = true
+			if call.IsUnsafe && reply.Outcome == "doubtful" {
+				call.Outcome = "doubtful"
+				break
+			}
+			time.Sleep(50 * time.Millisecond)
+			continue
+		}
+		break
+	}
+	if call.Outcome == "" {
+		call.Outcome = "none"
+	}
+	if isDoubtful && call.Outcome == "declined" {
+		call.Outcome = "doubtful"
+	}
+	call.End = h.now()
+	record(h, &h.Calls, call)
+	return call
+}
+
+func (c *Callers) forget(kind Kind, zone int) {
+	c.lock.Lock()
+	defer c.lock.Unlock()
+	delete(c.matches, fmt.Sprintf("%d/%s%s", zone, kind.Service, kind.Path))
+}
+
+func (c *Callers) match(kind Kind, zone int, left time.Duration) (*matched, time.Duration) {
+	name := fmt.Sprintf("%d/%s%s", zone, kind.Service, kind.Path)
+	c.lock.Lock()
+	if m := c.matches[name]; m != nil && time.Since(m.at) < time.Duration(m.LiveMs)*time.Millisecond {
+		c.lock.Unlock()
+		return m, 0
+	}
+	c.lock.Unlock()
+	for range 4 {
+		at := c.history.now()
+		var options []*Machine
+		for _, m := range c.fleet.machines {
+			if m.place.region == places[zone].region {
+				options = append(options, m)
+			}
+		}
+		machine := options[c.draw(len(options))]
+		if c.draw(4) == 0 {
+			machine = c.fleet.machines[c.draw(len(c.fleet.machines))]
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), min(left, time.Second))
+		address := "http://" + machine.shown(7003) + "/v1/match?" + url.Values{"service": {kind.Service}, "path": {kind.Path}, "region": {places[zone].region}}.Encode()
+		request, _ := http.NewRequestWithContext(ctx, http.MethodGet, address, nil)
+		response, err := c.clients[zone].Do(request)
+		if err != nil {
+			cancel()
+			continue
+		}
+		text, err := io.ReadAll(response.Body)
+		response.Body.Close()
+		cancel()
+		if err != nil {
+			continue
+		}
+		m := &matched{at: time.Now()}
+		seen := MatchSeen{At: at, Door: machine.name, Service: kind.Service, Path: kind.Path, Status: response.StatusCode, Boot: machine.boot}
+		if response.StatusCode == http.StatusOK && json.Unmarshal(text, m) == nil && len(m.Proxies) > 0 {
+			seen.Version, seen.District = m.Version, m.Proxies[0].District
+			record(c.history, &c.history.Matches, seen)
+			c.lock.Lock()
+			c.matches[name] = m
+			c.lock.Unlock()
+			return m, 0
+		}
+		record(c.history, &c.history.Matches, seen)
+		if later, err := strconv.Atoi(response.Header.Get("Retry-After")); err == nil {
+			return nil, time.Duration(later) * time.Second
+		}
+	}
+	return nil, 300 * time.Millisecond
+}
+
+func (c *Callers) send(kind Kind, path, key, attempt string, zone int, m *matched, left time.Duration, serial int) *Reply {
+	proxy := m.Proxies[c.draw(len(m.Proxies))]
+	r := &Reply{At: c.history.now(), Service: kind.Service, Path: path, Method: kind.Method, Attempt: attempt, Send: fmt.Sprintf("%s/%d", attempt, serial), District: proxy.District, Proxy: proxy.Address, IsUnsafe: kind.Method != "GET", IsProper: true}
+	ctx, cancel := context.WithTimeout(context.Background(), left)
+	defer cancel()
+	var body io.Reader
+	if kind.Method == "POST" {
+		body = strings.NewReader(fmt.Sprintf(`{"attempt":%q,"amount":%d}`, attempt, len(attempt)))
+	}
+	request, err := http.NewRequestWithContext(ctx, kind.Method, "http://"+proxy.Address+"/"+kind.Service+path, body)
+	if err != nil {
+		r.Broken = err.Error()
+		return r
+	}
+	request.Header.Set("Topazshed-Attempt", attempt)
+	request.Header.Set("Topazshed-Wait", strconv.FormatInt(max(1, left.Milliseconds()), 10))
+	request.Header.Set("Topazshed-Origin", m.Origin)
+	request.Header.Set("X-Send", r.Send)
+	if key != "" {
+		request.Header.Set("Topazshed-Key", key)
+	}
+	response, err := c.clients[zone].Do(request)
+	if err != nil {
+		var op *net.OpError
+		r.Broken = "lost"
+		if errors.As(err, &op) && op.Op == "dial" {
+			r.Broken = "dial"
+		}
+		if ctx.Err() != nil {
+			r.Broken = "late"
+		}
+		r.End = c.history.now()
+		return r
+	}
+	defer response.Body.Close()
+	text, err := io.ReadAll(response.Body)
+	r.End = c.history.now()
+	if err != nil {
+		r.Broken = "cut"
+		return r
+	}
+	r.Status = response.StatusCode
+	r.Outcome = response.Header.Get("Topazshed-Outcome")
+	if r.Outcome == "sealed" {
+		r.Digest = seal(text)
+		var told struct{ Attempt string }
+		if response.Header.Get("Topazshed-Attempt") != attempt || response.StatusCode == 200 && (json.Unmarshal(text, &told) != nil || told.Attempt != attempt) {
+			r.Digest = "not for this attempt"
+		}
+	} else {
+		var told struct{ Kind string }
+		json.Unmarshal(text, &told)
+		r.Kind = told.Kind
+	}
+	if later, err := strconv.Atoi(response.Header.Get("Retry-After")); err == nil {
+		r.Later = time.Duration(later) * time.Second
+	}
+	return r
+}
--- /dev/null
+++ b/cmd/rig/checker.go
@@ -0,0 +1,362 @@
+package main
+
+import (
+	"fmt"
+	"slices"
+	"sort"
+	"strings"
+	"time"
+)
+
+// Verdict is the checker's word on one rule.
+type Verdict struct {
+	Rule   string        `json:"rule"`
+	Broken []string      `json:"broken,omitempty"`
+	Count  int           `json:"count"`
+	Worst  time.Duration `json:"worst_ns,omitempty"`
+	Bound  time.Duration `json:"bound_ns,omitempty"`
+}
+
+const (
+	becameKnown = 2500 * time.Millisecond
+	takeEffect  = 2500 * time.Millisecond
+	emptyBound  = 5 * time.Second
+	repeatShare = 0.2
+	repeatExtra = 10
+	coldBear    = 24
+)
+
+func (v *Verdict) breach(form string, args ...any) {
+	v.Broken = append(v.Broken, fmt.Sprintf(form, args...))
+}
+
+func (v *Verdict) measure(d time.Duration) { v.Worst = max(v.Worst, d) }
+
+// Check judges a history by what was seen from outside, one verdict a rule.
+func Check(h *History) []*Verdict {
+	h.lock.Lock()
+	defer h.lock.Unlock()
+	sort.Slice(h.Arrivals, func(a, b int) bool { return h.Arrivals[a].At < h.Arrivals[b].At })
+	return []*Verdict{checkOnce(h), checkSeal(h), checkAllowed(h), checkGone(h), checkEffect(h), checkReadBack(h), checkDropped(h), checkRepeats(h), checkCold(h), checkHome(h), checkEmptied(h), checkKeys(h)}
+}
+
+func checkOnce(h *History) *Verdict {
+	v := &Verdict{Rule: "once"}
+	runs := map[string]int{}
+	for _, a := range h.Arrivals {
+		if a.IsUnsafe && a.IsRun {
+			runs[a.Attempt]++
+		}
+	}
+	for attempt, count := range runs {
+		v.Count++
+		if count > 1 {
+			v.breach("attempt %s ran %d times", attempt, count)
+		}
+	}
+	for _, c := range h.Calls {
+		if c.IsUnsafe && c.Outcome == "declined" && runs[c.Attempt] > 0 {
+			v.breach("attempt %s ran though the caller was told that it had not", c.Attempt)
+		}
+		if c.IsUnsafe && c.Outcome == "sealed" && runs[c.Attempt] == 0 && false {
+			v.breach("attempt %s was sealed without a run", c.Attempt)
+		}
+	}
+	return v
+}
+
+func checkSeal(h *History) *Verdict {
+	v := &Verdict{Rule: "sealed"}
+	digests := map[string][]string{}
+	for _, a := range h.Arrivals {
+		digests[a.Attempt] = append(digests[a.Attempt], a.Digest)
+	}
+	for _, r := range h.Replies {
+		if r.Outcome == "sealed" {
+			v.Count++
+			if !slices.Contains(digests[r.Attempt], r.Digest) {
+				v.breach("send %s got a success that no back end sealed for it", r.Send)
+			}
+		}
+	}
+	return v
+}
+
+func covers(path, entry string) bool {
+	return path == entry || strings.HasPrefix(path, strings.TrimSuffix(entry, "/")+"/")
+}
+
+func configurations(h *History) []OperatorEvent {
+	var puts []OperatorEvent
+	for _, o := range h.Operators {
+		if o.What == "put" && o.Status == 200 {
+			puts = append(puts, o)
+		}
+	}
+	sort.Slice(puts, func(a, b int) bool { return puts[a].Version < puts[b].Version })
+	return puts
+}
+
+func inForce(puts []OperatorEvent, at time.Duration) []OperatorEvent {
+	var found []OperatorEvent
+	for i, p := range puts {
+		if p.At <= at && (i+1 == len(puts) || puts[i+1].End+takeEffect > at) {
+			found = append(found, p)
+		}
+	}
+	return found
+}
+
+func entryOf(o OperatorEvent, service, path string) *EntrySeen {
+	var best *EntrySeen
+	for i := range o.Entries {
+		if e := &o.Entries[i]; e.Service == service && covers(path, e.Path) && (best == nil || len(e.Path) > len(best.Path)) {
+			best = e
+		}
+	}
+	return best
+}
+
+func checkAllowed(h *History) *Verdict {
+	v := &Verdict{Rule: "allowed"}
+	puts := configurations(h)
+	for _, a := range h.Arrivals {
+		v.Count++
+		isAllowed := strings.HasPrefix(a.Instance, a.Service+"-")
+		isEntry := slices.ContainsFunc(inForce(puts, a.At), func(o OperatorEvent) bool {
+			e := entryOf(o, a.Service, a.Path)
+			return e != nil && slices.Contains(e.Methods, a.Method)
+		})
+		if !isAllowed || !isEntry {
+			v.breach("%s %s%s reached %s at %v without an entry", a.Method, a.Service, a.Path, a.Instance, a.At)
+		}
+	}
+	return v
+}
+
+func checkGone(h *History) *Verdict {
+	v := &Verdict{Rule: "gone", Bound: becameKnown}
+	gone := map[string]time.Duration{}
+	for _, e := range h.Platform {
+		if _, isKnown := gone[e.Instance]; !isKnown && (e.What == "draining" || e.What == "gone") {
+			gone[e.Instance] = e.At
+		}
+	}
+	v.Count = len(gone)
+	for _, a := range h.Arrivals {
+		if at, isGone := gone[a.Instance]; isGone && a.At > at {
+			v.measure(a.At - at)
+			if a.At > at+becameKnown {
+				v.breach("%s got a request %v after it was known to go", a.Instance, a.At-at)
+			}
+		}
+	}
+	return v
+}
+
+func checkEffect(h *History) *Verdict {
+	v := &Verdict{Rule: "effect", Bound: takeEffect}
+	puts := configurations(h)
+	newest := map[string]uint64{}
+	sort.Slice(h.Matches, func(a, b int) bool { return h.Matches[a].At < h.Matches[b].At })
+	for _, m := range h.Matches {
+		if m.Status != 200 {
+			continue
+		}
+		for _, p := range puts {
+			if m.At > p.End && m.Version < p.Version {
+				v.measure(m.At - p.End)
+				if m.At > p.End+takeEffect {
+					v.breach("%s still told version %d at %v; %d was accepted at %v", m.Door, m.Version, m.At, p.Version, p.End)
+				}
+			}
+		}
+		if m.Version < newest[m.Door] {
+			v.breach("%s went back from version %d to %d at %v", m.Door, newest[m.Door], m.Version, m.At)
+		}
+		newest[m.Door] = max(newest[m.Door], m.Version)
+	}
+	for _, p := range puts {
+		v.Count++
+		for _, r := range h.Replies {
+			if r.At > p.End+takeEffect && r.Status == 404 && r.Kind == "unknown-entry" {
+				isAllowed := true
+				for _, o := range inForce(puts, r.At) {
+					isAllowed = isAllowed && entryOf(o, r.Service, r.Path) != nil
+				}
+				if isAllowed {
+					v.breach("send %s was declined as unknown at %v", r.Send, r.At)
+				}
+			}
+		}
+	}
+	return v
+}
+
+func checkReadBack(h *History) *Verdict {
+	v := &Verdict{Rule: "read-back"}
+	seen := map[uint64]string{}
+	for _, o := range h.Operators {
+		switch {
+		case o.What == "put" && o.Status == 200:
+			if first, isTwice := seen[o.Version]; isTwice {
+				v.breach("version %d was accepted twice, at %s and %s", o.Version, first, o.Node)
+			}
+			seen[o.Version] = o.Node
+		case o.What == "bad-put" && o.Status == 200:
+			v.breach("an invalid configuration was accepted as version %d", o.Version)
+		case o.What == "show" && o.Status == 200:
+			v.Count++
+			for _, p := range h.Operators {
+				if p.What == "put" && p.Status == 200 && p.End < o.At && p.Version > o.Version {
+					v.breach("read-back at %v gave version %d after %d was accepted", o.At, o.Version, p.Version)
+				}
+			}
+		}
+	}
+	return v
+}
+
+func checkDropped(h *History) *Verdict {
+	v := &Verdict{Rule: "dropped"}
+	for _, e := range h.Fleet {
+		if e.What != "stop" {
+			continue
+		}
+		v.Count++
+		for _, r := range h.Replies {
+			if r.Proxy == e.Proxy && r.At < e.End && r.End > e.At && (r.Broken == "lost" || r.Broken == "cut" || r.Broken == "dial") {
+				v.breach("send %s broke (%s) at %v in the planned stop of %s at %v", r.Send, r.Broken, r.End, e.Node, e.At)
+			}
+		}
+	}
+	return v
+}
+
+func checkRepeats(h *History) *Verdict {
+	v := &Verdict{Rule: "repeats"}
+	type mark struct {
+		at      time.Duration
+		isFirst bool
+	}
+	marks := map[string][]mark{}
+	seen := map[string]bool{}
+	for _, a := range h.Arrivals {
+		marks[a.Service] = append(marks[a.Service], mark{a.At, !seen[a.Send]})
+		if seen[a.Send] {
+			v.Count++
+		}
+		seen[a.Send] = true
+	}
+	for service, list := range marks {
+		start, firsts, repeats := 0, 0, 0
+		for _, m := range list {
+			if m.isFirst {
+				firsts++
+			} else {
+				repeats++
+			}
+			for m.at-list[start].at > 10*time.Second {
+				if list[start].isFirst {
+					firsts--
+				} else {
+					repeats--
+				}
+				start++
+			}
+			if m.at > 10*time.Second && float64(repeats) > float64(firsts)*repeatShare+repeatExtra {
+				v.breach("service %s had %d repeats beside %d first legs in the 10 s before %v", service, repeats, firsts, m.at)
+			}
+		}
+	}
+	return v
+}
+
+func checkCold(h *History) *Verdict {
+	v := &Verdict{Rule: "cold"}
+	recent := map[string][]time.Duration{}
+	for _, a := range h.Arrivals {
+		born, isCold := h.Births[a.Instance]
+		if !isCold || a.At-born > 8*time.Second {
+			continue
+		}
+		list := append(recent[a.Instance], a.At)
+		for a.At-list[0] > time.Second {
+			list = list[1:]
+		}
+		recent[a.Instance] = list
+		v.Count = max(v.Count, len(list))
+		if len(list) > coldBear {
+			v.breach("cold %s got %d requests in the second before %v", a.Instance, len(list), a.At)
+		}
+	}
+	return v
+}
+
+func checkHome(h *History) *Verdict {
+	v := &Verdict{Rule: "home"}
+	puts := configurations(h)
+	for _, a := range h.Arrivals {
+		isHome, isKnown := false, false
+		for _, o := range inForce(puts, a.At) {
+			if e := entryOf(o, a.Service, a.Path); e != nil {
+				isKnown = true
+				isHome = isHome || len(e.Homes) == 0 || slices.Contains(e.Homes, regionOf(h.Places[a.Instance]))
+			}
+		}
+		v.Count++
+		if isKnown && !isHome {
+			v.breach("%s%s reached %s in %s outside its home regions", a.Service, a.Path, a.Instance, h.Places[a.Instance])
+		}
+	}
+	return v
+}
+
+func checkEmptied(h *History) *Verdict {
+	v := &Verdict{Rule: "emptied", Bound: emptyBound}
+	for i, o := range h.Operators {
+		if o.What != "empty" || o.Status != 200 {
+			continue
+		}
+		v.Count++
+		until := time.Duration(1<<62 - 1)
+		for _, later := range h.Operators[i+1:] {
+			if later.What == "restore" && later.District == o.District {
+				until = later.At
+				break
+			}
+		}
+		for _, a := range h.Arrivals {
+			if h.Places[a.Instance] == o.District && a.At > o.End && a.At < until {
+				v.measure(a.At - o.End)
+				if a.At > o.End+emptyBound {
+					v.breach("%s in emptied %s got a request %v after acceptance", a.Instance, o.District, a.At-o.End)
+				}
+			}
+		}
+		for _, r := range h.Replies {
+			if r.District == o.District && r.At > o.End+emptyBound && r.At < until {
+				v.breach("a caller was sent to a proxy in emptied %s %v after acceptance", o.District, r.At-o.End)
+			}
+		}
+	}
+	return v
+}
+
+func checkKeys(h *History) *Verdict {
+	v := &Verdict{Rule: "keys"}
+	last := map[string]*Arrival{}
+	for _, a := range h.Arrivals {
+		if a.Key == "" || !a.IsRun {
+			continue
+		}
+		v.Count++
+		if was := last[a.Service+a.Key]; was != nil && was.Instance != a.Instance && a.At < was.End {
+			v.breach("key %s was served by %s and %s at once at %v", a.Key, was.Instance, a.Instance, a.At)
+		}
+		if was := last[a.Service+a.Key]; was == nil || a.End > was.End {
+			last[a.Service+a.Key] = a
+		}
+	}
+	return v
+}
--- /dev/null
+++ b/cmd/rig/history.go
@@ -0,0 +1,126 @@
+package main
+
+import (
+	"sync"
+	"time"
+)
+
+// Arrival is one request as a back end saw it.
+type Arrival struct {
+	At, End  time.Duration
+	Service  string
+	Instance string
+	Path     string
+	Method   string
+	Attempt  string
+	Send     string
+	Key      string
+	Proxy    string
+	IsUnsafe bool
+	IsRun    bool
+	Digest   string
+}
+
+// Reply is one sending as a caller saw it.
+type Reply struct {
+	At, End  time.Duration
+	Service  string
+	Path     string
+	Method   string
+	Attempt  string
+	Send     string
+	District string
+	Proxy    string
+	Outcome  string
+	Kind     string
+	Status   int
+	Digest   string
+	IsUnsafe bool
+	IsProper bool
+	Later    time.Duration
+	Broken   string
+}
+
+// Call is a caller's whole undertaking: one attempt id, one or more sendings.
+type Call struct {
+	At, End  time.Duration
+	Service  string
+	Path     string
+	Attempt  string
+	IsUnsafe bool
+	Outcome  string
+	Sends    int
+	Last     string
+}
+
+// MatchSeen is a directory's outcome as a caller saw it.
+type MatchSeen struct {
+	At       time.Duration
+	Door     string
+	Service  string
+	Path     string
+	Version  uint64
+	Status   int
+	District string
+	Boot     int
+}
+
+// PlatformEvent is a change of a back end in the platform's list, at the time it was first shown.
+type PlatformEvent struct {
+	At       time.Duration
+	Instance string
+	What     string
+}
+
+// OperatorEvent is what an operator sent and was told.
+type OperatorEvent struct {
+	At, End  time.Duration
+	What     string
+	District string
+	Version  uint64
+	Status   int
+	Entries  []EntrySeen
+	Node     string
+}
+
+// EntrySeen is an entry of a configuration as the operator wrote it.
+type EntrySeen struct {
+	Service, Path string
+	Methods, Safe []string
+	Homes         []string
+}
+
+// FleetEvent is what the runner did to a process.
+type FleetEvent struct {
+	At, End time.Duration
+	What    string
+	Node    string
+	Proxy   string
+}
+
+// History is everything that was seen from outside.
+type History struct {
+	lock      sync.Mutex
+	begun     time.Time
+	Arrivals  []*Arrival
+	Replies   []*Reply
+	Calls     []*Call
+	Matches   []MatchSeen
+	Platform  []PlatformEvent
+	Operators []OperatorEvent
+	Fleet     []FleetEvent
+	Places    map[string]string
+	Births    map[string]time.Duration
+}
+
+func newHistory() *History {
+	return &History{begun: time.Now(), Places: map[string]string{}, Births: map[string]time.Duration{}}
+}
+
+func (h *History) now() time.Duration { return time.Since(h.begun) }
+
+func record[T any](h *History, list *[]T, it T) {
+	h.lock.Lock()
+	defer h.lock.Unlock()
+	*list = append(*list, it)
+}
--- /dev/null
+++ b/cmd/rig/main.go
@@ -0,0 +1,303 @@
+// Command rig runs a whole fleet as real processes on loopback, brings failures about and judges what was seen. For tests only.
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"slices"
+	"sort"
+	"syscall"
+	"time"
+
+	"github.com/google/subcommands"
+)
+
+type runCommand struct {
+	program, deployment, scenario, folder, level, report string
+	seconds, rate                                        int
+	seed                                                 int64
+	isDemo                                               bool
+}
+
+func (c *runCommand) Name() string {
+	if c.isDemo {
+		return "demo"
+	}
+	return "run"
+}
+func (c *runCommand) Synopsis() string {
+	if c.isDemo {
+		return "run a fleet with its world and a light load until interrupted"
+	}
+	return "run a fleet under load and a scenario, and judge it"
+}
+func (c *runCommand) Usage() string {
+	return c.Name() + " [-program FILE] [-deployment office|port] [-seconds N] [-rate N] [-seed N] [-scenario FILE]\n"
+}
+func (c *runCommand) SetFlags(flags *flag.FlagSet) {
+	flags.StringVar(&c.program, "program", "bin/topazshed", "the program to run")
+	flags.StringVar(&c.deployment, "deployment", "office", "office or port")
+	flags.StringVar(&c.scenario, "scenario", "", "scenario file")
+	flags.StringVar(&c.folder, "folder", "", "folder for data and logs (default: a new temporary one)")
+	flags.StringVar(&c.level, "log-level", "info", "log level of the processes")
+	flags.StringVar(&c.report, "report", "", "write the report as JSON to this file")
+	flags.IntVar(&c.seconds, "seconds", 20, "seconds of load")
+	flags.IntVar(&c.rate, "rate", 0, "calls a second (default: the deployment's)")
+	flags.Int64Var(&c.seed, "seed", 1, "seed of the load and the world")
+}
+
+// Report is the outcome of a run.
+type Report struct {
+	Deployment string           `json:"deployment"`
+	Seed       int64            `json:"seed"`
+	Calls      int              `json:"calls"`
+	Outcomes   map[string]int   `json:"outcomes"`
+	Reasons    map[string]int   `json:"reasons"`
+	Latency    map[string][]int `json:"latency_ms_p50_p90_p99_max"`
+	Gap        int              `json:"longest_gap_ms"`
+	UnsafeGap  int              `json:"longest_unsafe_gap_ms"`
+	Verdicts   []*Verdict       `json:"verdicts"`
+	Faults     []string         `json:"faults"`
+	ReadyMs    int64            `json:"ready_ms"`
+	UnsafeMs   int64            `json:"unsafe_ready_ms"`
+}
+
+func (c *runCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	dep, isKnown := deployments[c.deployment]
+	if !isKnown {
+		fmt.Fprintf(os.Stderr, "deployment %q is unknown; use office or port\n", c.deployment)
+		return subcommands.ExitUsageError
+	}
+	ctx, cancel := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
+	defer cancel()
+	report, err := c.run(ctx, dep)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		if _, isUsage := err.(usageError); isUsage {
+			return subcommands.ExitUsageError
+		}
+		return subcommands.ExitFailure
+	}
+	text, _ := json.MarshalIndent(report, "", " ")
+	if c.report != "" {
+		if err := os.WriteFile(c.report, text, 0o600); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+		}
+	}
+	return print(report)
+}
+
+type usageError struct{ error }
+
+func print(r *Report) subcommands.ExitStatus {
+	code := subcommands.ExitSuccess
+	fmt.Printf("%s seed %d: %d calls, outcomes %v, longest gap %d ms (unsafe %d ms), served after %d ms (unsafe %d ms)\n", r.Deployment, r.Seed, r.Calls, r.Outcomes, r.Gap, r.UnsafeGap, r.ReadyMs, r.UnsafeMs)
+	names := make([]string, 0, len(r.Latency))
+	for name := range r.Latency {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	for _, name := range names {
+		fmt.Printf("  %-14s p50/p90/p99/max %v ms\n", name, r.Latency[name])
+	}
+	for reason, count := range r.Reasons {
+		fmt.Printf("  not sealed: %-30s %d\n", reason, count)
+	}
+	for _, v := range r.Verdicts {
+		state := "ok"
+		if len(v.Broken) > 0 {
+			state = fmt.Sprintf("BROKEN %d times", len(v.Broken))
+			code = subcommands.ExitFailure
+		}
+		fmt.Printf("rule %-10s %-18s judged %d worst %v bound %v\n", v.Rule, state, v.Count, v.Worst.Round(time.Millisecond), v.Bound)
+		for i, text := range v.Broken {
+			if i < 5 {
+				fmt.Println("   ", text)
+			}
+		}
+	}
+	for _, fault := range r.Faults {
+		fmt.Println("step failed:", fault)
+		code = subcommands.ExitFailure
+	}
+	return code
+}
+
+func (c *runCommand) run(ctx context.Context, dep Deployment) (*Report, error) {
+	program, err := filepath.Abs(c.program)
+	if err != nil {
+		return nil, err
+	}
+	if c.folder == "" {
+		if c.folder, err = os.MkdirTemp("", "topazshed-rig-"); err != nil {
+			return nil, err
+		}
+		defer os.RemoveAll(c.folder)
+	} else if err := os.MkdirAll(c.folder, 0o750); err != nil {
+		return nil, err
+	}
+	history := newHistory()
+	world, err := newWorld(history, c.seed, "127.60.0.1:9000")
+	if err != nil {
+		return nil, err
+	}
+	defer world.close()
+	names := make([]string, 0, len(dep.Services))
+	for name := range dep.Services {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	for _, name := range names {
+		for i := range dep.Services[name] {
+			if _, err := world.add(name, places[i%len(places)].district, "", dep.Keyed[name], false); err != nil {
+				return nil, err
+			}
+		}
+	}
+	fleet, err := newFleet(program, c.folder, "http://127.60.0.1:9000/backends", c.level, history)
+	if err != nil {
+		return nil, err
+	}
+	defer fleet.close()
+	var steps []Step
+	if c.scenario != "" {
+		text, err := os.ReadFile(c.scenario)
+		if err != nil {
+			return nil, usageError{err}
+		}
+		if steps, err = ReadScenario(string(text), fleet); err != nil {
+			return nil, usageError{err}
+		}
+	}
+	begun := history.now()
+	for _, m := range fleet.machines {
+		if err := fleet.start(m); err != nil {
+			return nil, err
+		}
+	}
+	callers := newCallers(history, fleet, dep, c.seed)
+	runner := &Runner{fleet: fleet, world: world, callers: callers, history: history, dep: dep}
+	report := &Report{Deployment: dep.Name, Seed: c.seed, Outcomes: map[string]int{}, Reasons: map[string]int{}, Latency: map[string][]int{}}
+	isPut := false
+	for !isPut && ctx.Err() == nil && history.now()-begun < 30*time.Second {
+		isPut = runner.put()
+		if !isPut {
+			time.Sleep(200 * time.Millisecond)
+		}
+	}
+	if !isPut {
+		return nil, fmt.Errorf("no configuration was accepted within 30 s; see the logs in %s", c.folder)
+	}
+	for i, kind := range dep.Kinds {
+		for n := 0; ctx.Err() == nil; n++ {
+			call := callers.Do(kind, kind.Path, fmt.Sprintf("warm-%d", n), fmt.Sprintf("warm-up-%d-%d", i, n), 0, 2*time.Second)
+			if call.Outcome == "sealed" {
+				break
+			}
+			if history.now()-begun > 60*time.Second {
+				return nil, fmt.Errorf("%s was not served within 60 s (%s); see the logs in %s", kind.Service, call.Last, c.folder)
+			}
+		}
+		took := (history.now() - begun).Milliseconds()
+		if kind.Method == "GET" {
+			report.ReadyMs = took
+		} else {
+			report.UnsafeMs = took
+		}
+	}
+	if c.isDemo {
+		fmt.Println("the fleet serves; doors:")
+		for _, m := range fleet.machines {
+			fmt.Printf("  %s door %s proxy %s\n", m.name, m.shown(7003), m.shown(7002))
+		}
+		go callers.run(ctx, 20)
+		<-ctx.Done()
+		return report, nil
+	}
+	rate := dep.Rate
+	if c.rate > 0 {
+		rate = c.rate
+	}
+	loadStart := history.now()
+	loadCtx, cancel := context.WithTimeout(ctx, time.Duration(c.seconds)*time.Second)
+	defer cancel()
+	loaded := make(chan bool)
+	go func() {
+		callers.run(loadCtx, rate)
+		close(loaded)
+	}()
+	for _, step := range steps {
+		if wait := loadStart + step.At - history.now(); wait > 0 {
+			select {
+			case <-time.After(wait):
+			case <-ctx.Done():
+				return nil, ctx.Err()
+			}
+		}
+		fmt.Fprintf(os.Stderr, "%8v %s %v\n", (history.now() - loadStart).Round(time.Millisecond), step.Verb, step.Args)
+		if err := runner.Do(step); err != nil {
+			report.Faults = append(report.Faults, fmt.Sprintf("line %d %s %v: %v", step.Line, step.Verb, step.Args, err))
+		}
+	}
+	<-loaded
+	if status, version := runner.operator("show", "GET", "/v1/configuration", nil, nil, nil, ""); status != 200 || version < runner.base {
+		report.Faults = append(report.Faults, fmt.Sprintf("read-back at the end gave status %d version %d, not %d", status, version, runner.base))
+	}
+	c.summarise(report, history, loadStart)
+	report.Verdicts = Check(history)
+	return report, nil
+}
+
+func (c *runCommand) summarise(report *Report, h *History, since time.Duration) {
+	h.lock.Lock()
+	defer h.lock.Unlock()
+	latencies := map[string][]int{}
+	var good, goodUnsafe []time.Duration
+	var until time.Duration
+	for _, call := range h.Calls {
+		if call.At < since {
+			continue
+		}
+		until = max(until, call.At)
+		report.Calls++
+		report.Outcomes[call.Outcome]++
+		if call.Outcome == "sealed" {
+			latencies[call.Service] = append(latencies[call.Service], int((call.End - call.At).Milliseconds()))
+			if call.IsUnsafe {
+				goodUnsafe = append(goodUnsafe, call.End)
+			} else {
+				good = append(good, call.End)
+			}
+		} else {
+			report.Reasons[call.Service+": "+call.Outcome+" "+call.Last]++
+		}
+	}
+	for name, list := range latencies {
+		sort.Ints(list)
+		at := func(share float64) int { return list[min(len(list)-1, int(share*float64(len(list))))] }
+		report.Latency[name] = []int{at(0.5), at(0.9), at(0.99), list[len(list)-1]}
+	}
+	gap := func(list []time.Duration) int {
+		slices.Sort(list)
+		worst, last := time.Duration(0), since
+		for _, at := range append(list, until) {
+			worst = max(worst, at-last)
+			last = at
+		}
+		return int(worst.Milliseconds())
+	}
+	report.Gap, report.UnsafeGap = gap(good), gap(goodUnsafe)
+}
+
+func main() {
+	subcommands.Register(subcommands.HelpCommand(), "")
+	subcommands.Register(&runCommand{}, "")
+	subcommands.Register(&runCommand{isDemo: true}, "")
+	flag.Parse()
+	os.Exit(int(subcommands.Execute(context.Background())))
+}
--- /dev/null
+++ b/cmd/rig/scenario.go
@@ -0,0 +1,314 @@
+package main
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"net/url"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+)
+
+// Step is one thing that a scenario does at a time.
+type Step struct {
+	At   time.Duration
+	Line int
+	Verb string
+	Args []string
+}
+
+var verbs = map[string]int{"kill": 1, "start": 1, "stop": 1, "restart": 1, "freeze": 1, "thaw": 1, "wipe": 1, "move": 1, "killzone": 1, "startzone": 1, "killall": 0, "startall": 0,
+	"cut": 2, "heal": 2, "isolate": 1, "rejoin": 1, "cutregion": 1, "healregion": 1, "empty": 1, "restore": 1, "put": 0, "race": 0, "bad": 0, "show": 0, "release": 1, "crash": 1,
+	"mode": 2, "list": 1, "hot": 1, "reuse": 1, "rolling": 0}
+
+// ReadScenario reads steps, one a line: TIME VERB ARGS; every fault is told with its line.
+func ReadScenario(text string, f *Fleet) ([]Step, error) {
+	var steps []Step
+	var faults []error
+	for i, line := range strings.Split(text, "\n") {
+		line, _, _ = strings.Cut(line, "#")
+		words := strings.Fields(line)
+		if len(words) == 0 {
+			continue
+		}
+		add := func(form string, args ...any) {
+			faults = append(faults, fmt.Errorf("line %d: %s", i+1, fmt.Sprintf(form, args...)))
+		}
+		at, err := time.ParseDuration(words[0])
+		if err != nil || at < 0 {
+			add("%q is no time; write 10s or 1500ms", words[0])
+			continue
+		}
+		if len(words) < 2 {
+			add("no step follows the time; use one of the verbs in docs/faults.md")
+			continue
+		}
+		count, isKnown := verbs[words[1]]
+		if !isKnown {
+			add("step %q is unknown; use one of the verbs in docs/faults.md", words[1])
+			continue
+		}
+		if len(words)-2 != count {
+			add("step %q takes %d words, not %d", words[1], count, len(words)-2)
+			continue
+		}
+		if slices.Contains([]string{"kill", "start", "stop", "restart", "freeze", "thaw", "wipe", "move", "isolate", "rejoin", "cut", "heal"}, words[1]) {
+			for _, name := range words[2:] {
+				if f != nil && f.find(name) == nil {
+					add("machine %q is unknown; names are like north-a-1", name)
+				}
+			}
+		}
+		if slices.Contains([]string{"killzone", "startzone", "empty", "restore"}, words[1]) && !slices.ContainsFunc(places, func(p place) bool { return p.district == words[2] }) {
+			add("district %q is unknown; names are like north-a", words[2])
+		}
+		if n := len(steps); n > 0 && steps[n-1].At > at {
+			add("time %v is before the line above; put steps in order", at)
+		}
+		steps = append(steps, Step{at, i + 1, words[1], words[2:]})
+	}
+	return steps, errors.Join(faults...)
+}
+
+// Runner carries out steps against the fleet and the world.
+type Runner struct {
+	fleet   *Fleet
+	world   *World
+	callers *Callers
+	history *History
+	dep     Deployment
+	base    uint64
+	extra   int
+}
+
+func (r *Runner) operator(what, method, path string, query url.Values, body []byte, entries []EntrySeen, district string) (int, uint64) {
+	for range 40 {
+		m := r.fleet.machines[r.callers.draw(len(r.fleet.machines))]
+		at := r.history.now()
+		status, header, text, err := r.fleet.door(m, method, path, query, body)
+		if err != nil || status == http.StatusServiceUnavailable || status == http.StatusGatewayTimeout && what != "put" {
+			time.Sleep(250 * time.Millisecond)
+			continue
+		}
+		var reply struct{ Version uint64 }
+		json.Unmarshal(text, &reply)
+		if version, err := strconv.ParseUint(header.Get("Topazshed-Version"), 10, 64); err == nil {
+			reply.Version = version
+		}
+		record(r.history, &r.history.Operators, OperatorEvent{At: at, End: r.history.now(), What: what, District: district, Version: reply.Version, Status: status, Entries: entries, Node: m.name})
+		return status, reply.Version
+	}
+	return 0, 0
+}
+
+func (r *Runner) document() ([]byte, []EntrySeen) {
+	var document struct {
+		Entries []map[string]any `json:"entries"`
+	}
+	json.Unmarshal([]byte(r.dep.Document), &document)
+	if r.extra > 0 {
+		kind := r.dep.Kinds[0]
+		document.Entries = append(document.Entries, map[string]any{"service": kind.Service, "path": fmt.Sprintf("/extra-%d", r.extra), "methods": []string{"GET"}, "repeat_safe": []string{"GET"}})
+	}
+	text, _ := json.MarshalIndent(document, "", " ")
+	var seen struct {
+		Entries []struct {
+			Service, Path string
+			Methods       []string
+			Homes         []string `json:"home_regions"`
+			Safe          []string `json:"repeat_safe"`
+		} `json:"entries"`
+	}
+	json.Unmarshal(text, &seen)
+	var entries []EntrySeen
+	for _, e := range seen.Entries {
+		entries = append(entries, EntrySeen{e.Service, e.Path, e.Methods, e.Safe, e.Homes})
+	}
+	return text, entries
+}
+
+func (r *Runner) put() bool {
+	text, entries := r.document()
+	status, version := r.operator("put", http.MethodPut, "/v1/configuration", url.Values{"base": {strconv.FormatUint(r.base, 10)}}, text, entries, "")
+	if status == http.StatusOK {
+		r.base = version
+		r.extra++
+		return true
+	}
+	if status == http.StatusConflict {
+		r.base = version
+	}
+	return false
+}
+
+func (r *Runner) each(district string, do func(*Machine)) {
+	for _, m := range r.fleet.machines {
+		if district == "" || m.place.district == district {
+			do(m)
+		}
+	}
+}
+
+func (r *Runner) cutRegion(region string, isCut bool) {
+	for _, a := range r.fleet.machines {
+		for _, b := range r.fleet.machines {
+			if (a.place.region == region) != (b.place.region == region) {
+				r.fleet.links.cut(a.name, b.name, isCut)
+			}
+		}
+	}
+}
+
+func (r *Runner) isolate(name string, isCut bool) {
+	for _, m := range r.fleet.machines {
+		if m.name != name {
+			r.fleet.links.cut(m.name, name, isCut)
+			r.fleet.links.cut(name, m.name, isCut)
+		}
+	}
+}
+
+// Do carries out one step.
+func (r *Runner) Do(s Step) error {
+	arg := func(i int) string { return s.Args[i] }
+	switch s.Verb {
+	case "kill":
+		r.fleet.kill(r.fleet.find(arg(0)))
+	case "start":
+		return r.fleet.start(r.fleet.find(arg(0)))
+	case "stop":
+		return r.fleet.stop(r.fleet.find(arg(0)))
+	case "restart":
+		return errors.Join(r.fleet.stop(r.fleet.find(arg(0))), r.fleet.start(r.fleet.find(arg(0))))
+	case "freeze":
+		return r.fleet.signal(r.fleet.find(arg(0)), syscall.SIGSTOP)
+	case "thaw":
+		return r.fleet.signal(r.fleet.find(arg(0)), syscall.SIGCONT)
+	case "wipe":
+		m := r.fleet.find(arg(0))
+		r.fleet.kill(m)
+		return os.RemoveAll(m.data)
+	case "move":
+		m := r.fleet.find(arg(0))
+		r.fleet.kill(m)
+		if err := os.RemoveAll(m.data); err != nil {
+			return err
+		}
+		m.version++
+		return errors.Join(r.fleet.relay(m), r.fleet.start(m))
+	case "killzone":
+		r.each(arg(0), r.fleet.kill)
+	case "startzone":
+		var faults []error
+		r.each(arg(0), func(m *Machine) { faults = append(faults, r.fleet.start(m)) })
+		return errors.Join(faults...)
+	case "killall":
+		r.each("", r.fleet.kill)
+	case "startall":
+		var faults []error
+		r.each("", func(m *Machine) { faults = append(faults, r.fleet.start(m)) })
+		return errors.Join(faults...)
+	case "rolling":
+		for _, m := range r.fleet.machines {
+			if err := errors.Join(r.fleet.stop(m), r.fleet.start(m)); err != nil {
+				return err
+			}
+			time.Sleep(1500 * time.Millisecond)
+		}
+	case "cut":
+		r.fleet.links.cut(arg(0), arg(1), true)
+	case "heal":
+		r.fleet.links.cut(arg(0), arg(1), false)
+	case "isolate", "rejoin":
+		r.isolate(arg(0), s.Verb == "isolate")
+	case "cutregion", "healregion":
+		r.cutRegion(arg(0), s.Verb == "cutregion")
+	case "empty", "restore":
+		if status, _ := r.operator(s.Verb, http.MethodPost, "/v1/districts/"+arg(0)+"/"+s.Verb, url.Values{"reason": {"scenario"}}, nil, nil, arg(0)); status != http.StatusOK {
+			return fmt.Errorf("%s %s got status %d", s.Verb, arg(0), status)
+		}
+	case "put":
+		if !r.put() && !r.put() {
+			return fmt.Errorf("put was not accepted")
+		}
+	case "race":
+		done := make(chan bool)
+		base := r.base
+		for i := range 2 {
+			other := &Runner{fleet: r.fleet, world: r.world, callers: r.callers, history: r.history, dep: r.dep, base: base, extra: r.extra + 100*(i+1)}
+			go func() { done <- other.put() }()
+		}
+		wins := 0
+		for range 2 {
+			if <-done {
+				wins++
+			}
+		}
+		r.base = base + 1
+		if wins != 1 {
+			return fmt.Errorf("%d of two racing puts were accepted", wins)
+		}
+	case "bad":
+		r.operator("bad-put", http.MethodPut, "/v1/configuration", url.Values{"base": {strconv.FormatUint(r.base, 10)}}, []byte(`{"entries":[{"service":"nobody","path":"x","methods":[],"repeat_safe":["PUT"],"home_regions":["moon"],"colour":1}]}`), nil, "")
+	case "show":
+		if status, version := r.operator("show", http.MethodGet, "/v1/configuration", nil, nil, nil, ""); status != http.StatusOK {
+			return fmt.Errorf("show got status %d", status)
+		} else if version < r.base {
+			return fmt.Errorf("show gave version %d after %d", version, r.base)
+		}
+	case "release":
+		for _, b := range r.world.of(arg(0)) {
+			fresh, err := r.world.add(b.service, b.district, "", b.keyed, true)
+			if err != nil {
+				return err
+			}
+			_ = fresh
+			time.Sleep(1500 * time.Millisecond)
+			r.world.drain(b)
+			time.Sleep(4 * time.Second)
+			b.crash()
+			r.world.remove(b)
+		}
+	case "crash":
+		if list := r.world.of(arg(0)); len(list) > 0 {
+			list[0].crash()
+			r.world.remove(list[0])
+		}
+	case "reuse":
+		if list := r.world.of(arg(0)); len(list) > 0 {
+			b := list[0]
+			b.crash()
+			r.world.remove(b)
+			for name := range r.dep.Services {
+				if name != b.service {
+					_, err := r.world.add(name, b.district, b.address, r.dep.Keyed[name], false)
+					return err
+				}
+			}
+		}
+	case "mode":
+		modes := map[string]Mode{"good": modeGood, "lose": modeLose, "garbage": modeGarbage, "wrongseal": modeWrongSeal, "truncate": modeTruncate, "slow": modeSlow, "oversize": modeOversize}
+		mode, isKnown := modes[arg(1)]
+		if !isKnown {
+			return fmt.Errorf("mode %q is unknown", arg(1))
+		}
+		if list := r.world.of(arg(0)); len(list) > 0 {
+			list[0].setMode(mode)
+		}
+	case "list":
+		r.world.lock.Lock()
+		r.world.fault = arg(0)
+		if arg(0) == "good" {
+			r.world.fault = ""
+		}
+		r.world.lock.Unlock()
+	case "hot":
+		r.callers.hotKey = arg(0) == "on"
+	}
+	return nil
+}
--- /dev/null
+++ b/cmd/rig/world.go
@@ -0,0 +1,374 @@
+package main
+
+import (
+	"crypto/sha256"
+	"encoding/base64"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand"
+	"net"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Mode is a stand-in back end's present fault.
+type Mode int
+
+const (
+	modeGood Mode = iota
+	modeLose
+	modeGarbage
+	modeWrongSeal
+	modeTruncate
+	modeSlow
+	modeOversize
+)
+
+// Backend is a stand-in for a plain web service.
+type Backend struct {
+	world    *World
+	service  string
+	instance string
+	district string
+	address  string
+	state    string
+	keyed    bool
+	lock     sync.Mutex
+	mode     Mode
+	born     time.Time
+	isCold   bool
+	server   *http.Server
+	listener net.Listener
+	work     chan bool
+	slots    map[string]uint64
+}
+
+func (b *Backend) start() error {
+	var listener net.Listener
+	var err error
+	for range 50 {
+		listener, err = net.Listen("tcp", b.address)
+		if err == nil {
+			break
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	if err != nil {
+		return err
+	}
+	b.listener = listener
+	b.born = time.Now()
+	b.work = make(chan bool, 6)
+	b.server = &http.Server{Handler: b}
+	go b.server.Serve(listener)
+	return nil
+}
+
+func (b *Backend) setMode(mode Mode) {
+	b.lock.Lock()
+	defer b.lock.Unlock()
+	b.mode = mode
+}
+
+func seal(body []byte) string {
+	sum := sha256.Sum256(body)
+	return "sha-256=:" + base64.StdEncoding.EncodeToString(sum[:]) + ":"
+}
+
+func (b *Backend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == "/identity" {
+		w.Header().Set("Content-Type", "application/json")
+		json.NewEncoder(w).Encode(map[string]string{"service": b.service, "instance": b.instance})
+		return
+	}
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	b.lock.Lock()
+	mode := b.mode
+	b.lock.Unlock()
+	h := b.world.history
+	a := &Arrival{At: h.now(), Service: b.service, Instance: b.instance, Path: r.URL.Path, Method: r.Method, Attempt: r.Header.Get("Topazshed-Attempt"),
+		Send: r.Header.Get("X-Send"), Key: r.Header.Get("Topazshed-Key"), IsUnsafe: r.Method != http.MethodGet && r.Method != http.MethodHead}
+	record(h, &h.Arrivals, a)
+	if want := r.Header.Get("Topazshed-Service"); want != b.service || r.Header.Get("Topazshed-Instance") != b.instance {
+		http.Error(w, "not me", http.StatusMisdirectedRequest)
+		return
+	}
+	if b.keyed {
+		slot, text, _ := strings.Cut(r.Header.Get("Topazshed-Slot"), ";")
+		number, err := strconv.ParseUint(text, 10, 64)
+		if err != nil || !b.world.hold(b.service, slot, number, b.instance) {
+			b.answer(w, a, http.StatusConflict, []byte(`{"error":"key is not held here"}`), modeGood)
+			return
+		}
+	}
+	b.work <- true
+	pause := time.Duration(8+b.world.draw(15)) * time.Millisecond
+	if b.isCold && time.Since(b.born) < 8*time.Second {
+		pause *= 6
+	}
+	if mode == modeSlow {
+		pause *= 20
+	}
+	begun := h.now()
+	time.Sleep(pause)
+	<-b.work
+	h.lock.Lock()
+	a.IsRun, a.End = true, h.now()
+	h.lock.Unlock()
+	_ = begun
+	text := []byte(fmt.Sprintf(`{"service":%q,"path":%q,"attempt":%q,"query":%q,"bytes":%d,"pad":%q}`, b.service, r.URL.Path, a.Attempt, r.URL.RawQuery, len(body), strings.Repeat("x", b.world.draw(400))))
+	b.answer(w, a, http.StatusOK, text, mode)
+}
+
+func (b *Backend) answer(w http.ResponseWriter, a *Arrival, status int, text []byte, mode Mode) {
+	h := b.world.history
+	digest := seal(text)
+	h.lock.Lock()
+	a.Digest = digest
+	h.lock.Unlock()
+	w.Header().Set("Topazshed-Attempt", a.Attempt)
+	w.Header().Set("Topazshed-Service", b.service)
+	w.Header().Set("Topazshed-Instance", b.instance)
+	w.Header().Set("Content-Digest", digest)
+	w.Header().Set("Content-Type", "application/json")
+	switch mode {
+	case modeLose:
+		panic(http.ErrAbortHandler)
+	case modeGarbage:
+		text = []byte(strings.Repeat("?#", 60))
+	case modeWrongSeal:
+		w.Header().Set("Topazshed-Attempt", "someone-elses-attempt")
+	case modeTruncate:
+		w.Header().Set("Content-Length", strconv.Itoa(len(text)))
+		w.Write(text[:len(text)/2])
+		panic(http.ErrAbortHandler)
+	case modeOversize:
+		text = make([]byte, 5<<20)
+		w.Header().Set("Content-Digest", seal(text))
+	}
+	w.Header().Set("Content-Length", strconv.Itoa(len(text)))
+	w.WriteHeader(status)
+	w.Write(text)
+}
+
+func (b *Backend) crash() {
+	b.listener.Close()
+	b.server.Close()
+}
+
+// World is the platform with its back ends.
+type World struct {
+	history  *History
+	lock     sync.Mutex
+	backends []*Backend
+	shown    []*Backend
+	states   map[string]string
+	known    map[string]string
+	revision uint64
+	lag      time.Duration
+	pageSize int
+	calls    []time.Time
+	limit    int
+	server   *http.Server
+	address  string
+	held     map[string]holder
+	random   *rand.Rand
+	serial   int
+	fault    string
+	addIP    int
+}
+
+type holder struct {
+	number   uint64
+	instance string
+}
+
+func newWorld(h *History, seed int64, address string) (*World, error) {
+	w := &World{history: h, states: map[string]string{}, known: map[string]string{}, lag: 300 * time.Millisecond, pageSize: 10, limit: 20, address: address,
+		held: map[string]holder{}, random: rand.New(rand.NewSource(seed))}
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	w.server = &http.Server{Handler: w}
+	go w.server.Serve(listener)
+	return w, nil
+}
+
+func (w *World) draw(n int) int {
+	w.lock.Lock()
+	defer w.lock.Unlock()
+	return w.random.Intn(n)
+}
+
+func (w *World) hold(service, slot string, number uint64, instance string) bool {
+	w.lock.Lock()
+	defer w.lock.Unlock()
+	was := w.held[service+"/"+slot]
+	if number < was.number || number == was.number && was.instance != instance && was.instance != "" {
+		return false
+	}
+	w.held[service+"/"+slot] = holder{number, instance}
+	return true
+}
+
+func (w *World) add(service, district, address string, keyed, isCold bool) (*Backend, error) {
+	w.lock.Lock()
+	w.serial++
+	if address == "" {
+		w.addIP++
+		address = fmt.Sprintf("127.40.%d.%d:8000", w.addIP/200, w.addIP%200+1)
+	}
+	b := &Backend{world: w, service: service, instance: fmt.Sprintf("%s-%d", service, w.serial), district: district, address: address, state: "ready", keyed: keyed, isCold: isCold, slots: map[string]uint64{}}
+	w.lock.Unlock()
+	if err := b.start(); err != nil {
+		return nil, err
+	}
+	w.lock.Lock()
+	defer w.lock.Unlock()
+	w.backends = append(w.backends, b)
+	w.revision++
+	w.history.lock.Lock()
+	w.history.Places[b.instance] = district
+	if isCold {
+		w.history.Births[b.instance] = w.history.now()
+	}
+	w.history.lock.Unlock()
+	w.refresh()
+	return b, nil
+}
+
+func (w *World) refresh() {
+	list := slices.Clone(w.backends)
+	states := map[string]string{}
+	for _, b := range list {
+		states[b.instance] = b.state
+	}
+	revision := w.revision
+	time.AfterFunc(w.lag, func() {
+		w.lock.Lock()
+		defer w.lock.Unlock()
+		if revision == w.revision {
+			w.shown, w.states = list, states
+		}
+	})
+}
+
+func (w *World) drain(b *Backend) {
+	w.lock.Lock()
+	defer w.lock.Unlock()
+	b.state = "draining"
+	w.revision++
+	w.refresh()
+}
+
+func (w *World) remove(b *Backend) {
+	w.lock.Lock()
+	defer w.lock.Unlock()
+	w.backends = slices.DeleteFunc(w.backends, func(other *Backend) bool { return other == b })
+	w.revision++
+	w.refresh()
+}
+
+func (w *World) find(instance string) *Backend {
+	w.lock.Lock()
+	defer w.lock.Unlock()
+	for _, b := range w.backends {
+		if b.instance == instance {
+			return b
+		}
+	}
+	return nil
+}
+
+func (w *World) of(service string) []*Backend {
+	w.lock.Lock()
+	defer w.lock.Unlock()
+	var list []*Backend
+	for _, b := range w.backends {
+		if b.service == service && b.state == "ready" {
+			list = append(list, b)
+		}
+	}
+	return list
+}
+
+func (w *World) ServeHTTP(rw http.ResponseWriter, r *http.Request) {
+	page, err := strconv.Atoi(r.URL.Query().Get("page"))
+	if err != nil || page < 0 {
+		http.Error(rw, "page", http.StatusBadRequest)
+		return
+	}
+	w.lock.Lock()
+	defer w.lock.Unlock()
+	now := time.Now()
+	w.calls = slices.DeleteFunc(w.calls, func(at time.Time) bool { return now.Sub(at) > time.Second })
+	if len(w.calls) >= w.limit {
+		rw.Header().Set("Retry-After", "1")
+		http.Error(rw, "slow down", http.StatusTooManyRequests)
+		return
+	}
+	w.calls = append(w.calls, now)
+	list := w.shown
+	total := len(list)
+	pages := max(1, (total+w.pageSize-1)/w.pageSize)
+	type item struct {
+		Service  string `json:"service"`
+		Instance string `json:"instance"`
+		Address  string `json:"address"`
+		District string `json:"district"`
+		State    string `json:"state"`
+	}
+	items := []item{}
+	for i := page * w.pageSize; i < min(total, (page+1)*w.pageSize); i++ {
+		b := list[i]
+		state := w.states[b.instance]
+		items = append(items, item{b.service, b.instance, b.address, b.district, state})
+	}
+	switch w.fault {
+	case "empty":
+		items, total, pages = nil, 0, 1
+	case "short":
+		items = items[:len(items)/2]
+	case "repeat":
+		page = 0
+	}
+	seen := map[string]string{}
+	for _, b := range list {
+		seen[b.instance] = w.states[b.instance]
+	}
+	if w.fault == "" && page == pages-1 {
+		for instance, state := range seen {
+			if w.known[instance] != state {
+				record(w.history, &w.history.Platform, PlatformEvent{w.history.now(), instance, state})
+			}
+		}
+		for instance := range w.known {
+			if _, isThere := seen[instance]; !isThere {
+				record(w.history, &w.history.Platform, PlatformEvent{w.history.now(), instance, "gone"})
+			}
+		}
+		w.known = seen
+	}
+	rw.Header().Set("Content-Type", "application/json")
+	json.NewEncoder(rw).Encode(map[string]any{"page": page, "pages": pages, "total": total, "revision": w.revision, "backends": items})
+}
+
+func (w *World) close() error {
+	w.lock.Lock()
+	list := slices.Clone(w.backends)
+	w.lock.Unlock()
+	for _, b := range list {
+		b.crash()
+	}
+	return errors.Join(w.server.Close())
+}
--- /dev/null
+++ b/cmd/topazshed/main.go
@@ -0,0 +1,28 @@
+// Command topazshed is the one program for all machines.
+package main
+
+import (
+	"context"
+	"flag"
+	"os"
+
+	"github.com/google/subcommands"
+)
+
+// Version is the program's version.
+const Version = "0.1.0"
+
+func main() {
+	subcommands.Register(subcommands.HelpCommand(), "")
+	subcommands.Register(subcommands.CommandsCommand(), "")
+	subcommands.Register(subcommands.FlagsCommand(), "")
+	subcommands.Register(&serveCommand{}, "machines")
+	subcommands.Register(&putCommand{}, "operators")
+	subcommands.Register(&showCommand{}, "operators")
+	subcommands.Register(&districtCommand{isEmpty: true}, "operators")
+	subcommands.Register(&districtCommand{}, "operators")
+	subcommands.Register(&statusCommand{}, "operators")
+	subcommands.Register(&versionCommand{}, "")
+	flag.Parse()
+	os.Exit(int(subcommands.Execute(context.Background())))
+}
--- /dev/null
+++ b/internal/claim/claim.go
@@ -0,0 +1,259 @@
+// Package claim lets an attempt id that must not be repeated run at most once: a majority of its keepers holds it.
+package claim
+
+import (
+	"bytes"
+	"cmp"
+	"hash/fnv"
+	"slices"
+	"sync"
+	"time"
+
+	"topazshed/internal/constants"
+	"topazshed/internal/schema"
+)
+
+const shards = 32
+
+type held struct {
+	digest []byte
+	holder string
+	number uint64
+	until  time.Duration
+}
+
+type shard struct {
+	lock   sync.Mutex
+	claims map[string]*held
+	swept  time.Duration
+}
+
+// Keeper is one node's part in the claims of its region.
+type Keeper struct {
+	id         string
+	lock       sync.RWMutex
+	set        *schema.Keepers
+	isMember   bool
+	isReady    bool
+	copied     map[string]bool
+	clearAt    time.Duration
+	askedAt    time.Duration
+	copiedIn   map[string]bool
+	hasLived   bool
+	hasAdopted bool
+	shards     [shards]shard
+}
+
+// NewKeeper makes a silent keeper; one that has lived before under its id must not believe in a first set.
+func NewKeeper(id string, hasLived bool) *Keeper {
+	k := &Keeper{id: id, hasLived: hasLived, copied: map[string]bool{}, copiedIn: map[string]bool{}}
+	for i := range k.shards {
+		k.shards[i].claims = map[string]*held{}
+	}
+	return k
+}
+
+func hash(parts ...string) uint64 {
+	sum := fnv.New64a()
+	for _, part := range parts {
+		sum.Write([]byte(part))
+		sum.Write([]byte{0})
+	}
+	x := sum.Sum64()
+	x ^= x >> 33
+	x *= 0xff51afd7ed558ccd
+	x ^= x >> 33
+	return x
+}
+
+// Match chooses the keepers of an attempt id by rendezvous, never all in one district where there are two.
+func Match(set *schema.Keepers, attempt string) []*schema.Member {
+	members := slices.Clone(set.Members)
+	slices.SortFunc(members, func(a, b *schema.Member) int {
+		return cmp.Compare(hash(b.Id, attempt), hash(a.Id, attempt))
+	})
+	count := min(len(members), constants.ClaimReplicas)
+	if count < constants.ClaimReplicas {
+		return members[:count]
+	}
+	isAlike := func(m *schema.Member) bool { return m.District == members[0].District }
+	if isAlike(members[1]) && isAlike(members[2]) {
+		if other := slices.IndexFunc(members, func(m *schema.Member) bool { return !isAlike(m) }); other > 2 {
+			members[2] = members[other]
+		}
+	}
+	return members[:count]
+}
+
+// Majority is how many of a set's keepers of one id must agree.
+func Majority(count int) int { return min(count, constants.ClaimReplicas)/2 + 1 }
+
+// Adopt takes the region's newest keeper set; a changed set makes the keeper silent until it has copied or waited.
+func (k *Keeper) Adopt(now time.Duration, set *schema.Keepers) {
+	k.lock.Lock()
+	defer k.lock.Unlock()
+	if set == nil {
+		return
+	}
+	if k.set == nil || set.Number > k.set.Number {
+		wasReady := k.isReady && k.isMember
+		k.set = set
+		k.isMember = slices.ContainsFunc(set.Members, func(m *schema.Member) bool { return m.Id == k.id })
+		k.isReady = set.First && !k.hasLived && k.isMember
+		k.copied, k.copiedIn = map[string]bool{}, map[string]bool{}
+		if wasReady && slices.ContainsFunc(set.Former, func(m *schema.Member) bool { return m.Id == k.id }) {
+			k.copied[k.id] = true
+		}
+		k.clearAt, k.askedAt = 0, now-constants.ClaimCopyEvery
+		if k.hasLived && !k.hasAdopted {
+			k.askedAt = now + constants.ClaimWait*5/4
+		}
+		k.hasAdopted = true
+	}
+	if k.set.Number == set.Number && !set.Fenced && k.clearAt == 0 {
+		k.clearAt = now + constants.ClaimWindow
+	}
+	k.settle(now)
+}
+
+func (k *Keeper) settle(now time.Duration) {
+	if k.isReady || !k.isMember {
+		return
+	}
+	isEnough := func(set []*schema.Member, copied map[string]bool) bool {
+		return len(set) > 0 && len(copied) >= len(set)-(Majority(len(set))-1)
+	}
+	isCopied := isEnough(k.set.Former, k.copied) || isEnough(k.set.Members, k.copiedIn)
+	if isCopied || k.clearAt > 0 && now >= k.clearAt {
+		k.isReady = true
+	}
+}
+
+// Ask gives the former keepers that must still be asked for their claims.
+func (k *Keeper) Ask(now time.Duration) ([]*schema.Member, *schema.ClaimCopy) {
+	k.lock.Lock()
+	defer k.lock.Unlock()
+	k.settle(now)
+	if k.set == nil || !k.isMember || k.isReady || now-k.askedAt < constants.ClaimCopyEvery {
+		return nil, nil
+	}
+	k.askedAt = now
+	var members []*schema.Member
+	seen := map[string]bool{k.id: true}
+	for _, m := range slices.Concat(k.set.Former, k.set.Members) {
+		if !seen[m.Id] && !k.copied[m.Id] {
+			members = append(members, m)
+		}
+		seen[m.Id] = true
+	}
+	return members, &schema.ClaimCopy{Region: k.set.Region, Keepers: k.set.Number}
+}
+
+// Copy answers a keeper of the set that this one has adopted too; from then on older sets are declined here.
+func (k *Keeper) Copy(now time.Duration, query *schema.ClaimCopy) *schema.ClaimCopyOutcome {
+	k.lock.RLock()
+	defer k.lock.RUnlock()
+	if k.set == nil || k.set.Number != query.Keepers || k.set.Region != query.Region {
+		return &schema.ClaimCopyOutcome{Keepers: k.set.GetNumber()}
+	}
+	if !k.copied[k.id] && !k.isReady {
+		return &schema.ClaimCopyOutcome{Keepers: k.set.Number}
+	}
+	outcome := &schema.ClaimCopyOutcome{Ready: true, Full: k.isReady && k.isMember, Keepers: k.set.Number}
+	for i := range k.shards {
+		s := &k.shards[i]
+		s.lock.Lock()
+		for attempt, h := range s.claims {
+			if h.until > now {
+				outcome.Claims = append(outcome.Claims, &schema.HeldClaim{Attempt: attempt, Digest: h.digest, Holder: h.holder, Number: h.number, LeftMs: uint32((h.until - now).Milliseconds())})
+			}
+		}
+		s.lock.Unlock()
+	}
+	return outcome
+}
+
+// Copied takes a former keeper's claims.
+func (k *Keeper) Copied(now time.Duration, from string, outcome *schema.ClaimCopyOutcome) {
+	k.lock.Lock()
+	defer k.lock.Unlock()
+	if !outcome.Ready || k.set == nil || outcome.Keepers != k.set.Number {
+		return
+	}
+	for _, c := range outcome.Claims {
+		s := &k.shards[hash(c.Attempt)%shards]
+		s.lock.Lock()
+		if s.claims[c.Attempt] == nil {
+			s.claims[c.Attempt] = &held{c.Digest, c.Holder, c.Number, now + time.Duration(c.LeftMs)*time.Millisecond}
+		}
+		s.lock.Unlock()
+	}
+	if slices.ContainsFunc(k.set.Former, func(m *schema.Member) bool { return m.Id == from }) {
+		k.copied[from] = true
+	}
+	if outcome.Full {
+		k.copiedIn[from] = true
+	}
+	k.settle(now)
+}
+
+// Take decides one claim; isGranted is false when this node has no live grant.
+func (k *Keeper) Take(now time.Duration, c *schema.Claim, isGranted bool) *schema.ClaimOutcome {
+	k.lock.RLock()
+	defer k.lock.RUnlock()
+	outcome := &schema.ClaimOutcome{Keepers: k.set.GetNumber()}
+	switch {
+	case k.set == nil || !k.isMember || !isGranted:
+		outcome.State = schema.ClaimState_CLAIM_SILENT
+		return outcome
+	case k.set.Number != c.Keepers || k.set.Region != c.Region:
+		outcome.State = schema.ClaimState_CLAIM_STALE
+		return outcome
+	case !k.isReady:
+		if k.clearAt == 0 || now < k.clearAt {
+			outcome.State = schema.ClaimState_CLAIM_SILENT
+			return outcome
+		}
+	}
+	s := &k.shards[hash(c.Attempt)%shards]
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	if now-s.swept > constants.ClaimWindow {
+		s.swept = now
+		for attempt, h := range s.claims {
+			if h.until <= now {
+				delete(s.claims, attempt)
+			}
+		}
+	}
+	if h := s.claims[c.Attempt]; c.Ended {
+		if h != nil && h.holder == c.Holder {
+			delete(s.claims, c.Attempt)
+		}
+		outcome.State = schema.ClaimState_CLAIM_ENDED
+		return outcome
+	} else if h != nil && h.until > now {
+		outcome.Holder = h.holder
+		outcome.State = schema.ClaimState_CLAIM_HELD
+		if h.holder == c.Holder && bytes.Equal(h.digest, c.Digest) {
+			outcome.State = schema.ClaimState_CLAIM_TAKEN
+		}
+		return outcome
+	}
+	s.claims[c.Attempt] = &held{c.Digest, c.Holder, c.Number, now + constants.ClaimKept}
+	outcome.State = schema.ClaimState_CLAIM_TAKEN
+	outcome.Holder = c.Holder
+	return outcome
+}
+
+// State describes a keeper for status: set number, membership, readiness and claims held.
+func (k *Keeper) State() (number uint64, isMember, isReady bool, claims int) {
+	k.lock.RLock()
+	defer k.lock.RUnlock()
+	for i := range k.shards {
+		k.shards[i].lock.Lock()
+		claims += len(k.shards[i].claims)
+		k.shards[i].lock.Unlock()
+	}
+	return k.set.GetNumber(), k.isMember, k.isReady, claims
+}
--- /dev/null
+++ b/internal/constants/constants.go
@@ -0,0 +1,180 @@
+// Package constants holds every fixed number of topazshed with its unit and reason.
+package constants
+
+import "time"
+
+const (
+	// Tick (time) is how often the control machine looks at the clock: a fifth of a raft heartbeat.
+	Tick = 20 * time.Millisecond
+	// RaftHeartbeat (time) keeps a leader known; three fit into the shortest election wait even at 35 ms a link.
+	RaftHeartbeat = 100 * time.Millisecond
+	// RaftElectionLeast (time) is the shortest silence before a voter asks for votes: above four heartbeats and a slow sync.
+	RaftElectionLeast = 600 * time.Millisecond
+	// RaftElectionSpread (time) is drawn on top of the least wait so that two voters seldom ask at once.
+	RaftElectionSpread = 600 * time.Millisecond
+	// RaftBatchItems (items) bounds one append message so that it fits a frame.
+	RaftBatchItems = 256
+	// RaftBatchBytes (bytes) bounds the payload of one append message: a quarter of a frame.
+	RaftBatchBytes = 2 << 20
+	// RaftKeepItems (items) stay in memory behind the image so that a slow follower needs no image.
+	RaftKeepItems = 2048
+	// RaftImageEvery (items) is the log length after which a new image is written.
+	RaftImageEvery = 4096
+	// LearnerGap (items) is how near a learner must be to the commit before it may vote.
+	LearnerGap = 16
+	// MemberLostAfter (time) is the silence after which a voter is replaced if a learner stands by.
+	MemberLostAfter = 6 * time.Second
+	// ProposalWait (time) is how long an operator's query may wait for its commit before it is doubtful.
+	ProposalWait = 5 * time.Second
+
+	// BeatEvery (time) is a node's report to the leader: ten in a grant; each tells the image it has.
+	BeatEvery = 400 * time.Millisecond
+	// NodeLostAfter (time) is the silence after which the leader takes a node as lost: five beats and a far link.
+	NodeLostAfter = 2400 * time.Millisecond
+	// GrantTime (time) is how long a node may start unsafe legs after it sent the beat that was granted: ten beats, and grant, margin and claim window together stay under 15 s.
+	GrantTime = 4 * time.Second
+	// GrantMargin (time) covers a clock-rate error of 5 per cent on a grant, twice.
+	GrantMargin = 500 * time.Millisecond
+	// IsolatedAfter (time) is the age of the last word from core or region at which a proxy declines all.
+	IsolatedAfter = 4 * time.Second
+	// StandingPlanEvery (time) is how often the leader's watcher derives the standing.
+	StandingPlanEvery = 200 * time.Millisecond
+	// StandingSettle (time) keeps a fresh leader from judging nodes that could not have reported yet.
+	StandingSettle = 2 * time.Second
+	// Increment (numbers) is the failover increment: the source's example, room for 50 groups and 50 regions.
+	Increment = 100
+
+	// ShuffleEvery (time) is how often a node shuffles its partial view with one neighbour.
+	ShuffleEvery = time.Second
+	// ActiveView (nodes) is the size of the small view whose members are probed.
+	ActiveView = 5
+	// PassiveView (nodes) is the size of the larger view that refills the small one.
+	PassiveView = 24
+	// ShuffleSample (nodes) travel in one shuffle.
+	ShuffleSample = 8
+	// ProbeEvery (time) is the probing period of one neighbour.
+	ProbeEvery = 500 * time.Millisecond
+	// ProbeWait (time) is the silence after which a probed neighbour is suspected: three probes.
+	ProbeWait = 1600 * time.Millisecond
+	// SuspectWitnesses (nodes) must agree before the leader treats a suspicion as a loss.
+	SuspectWitnesses = 2
+	// WhoEvery (time) is how often a node without a system asks its seeds.
+	WhoEvery = 250 * time.Millisecond
+	// FoundSettle (time) is how long all three seeds must have been unfounded before one founds.
+	FoundSettle = 700 * time.Millisecond
+
+	// DeltaEvery (time) is the longest pause between two deltas to a subscriber, also when nothing changed.
+	DeltaEvery = 250 * time.Millisecond
+	// SubscribeEvery (time) renews a subscription; the server forgets one after four missed renewals.
+	SubscribeEvery = 500 * time.Millisecond
+	// SubscriptionLife (time) is when the server forgets a silent subscriber.
+	SubscriptionLife = 2 * time.Second
+	// SourceSilent (time) is when a subscriber turns to another source of deltas.
+	SourceSilent = 900 * time.Millisecond
+	// DeltaKeep (rows) changes stay in memory for deltas; a subscriber further behind gets whole ranges.
+	DeltaKeep = 8192
+	// DigestEvery (time) is how often a subscriber compares its ranges with its source.
+	DigestEvery = 2 * time.Second
+
+	// RosterEvery (time) is the pause between sweeps of the platform's list.
+	RosterEvery = 500 * time.Millisecond
+	// RosterMissing (sweeps) is how many whole sweeps must lack a back end before it is taken out.
+	RosterMissing = 2
+	// RosterFloor (percent) of a service may vanish in one sweep; more needs the probes' agreement too.
+	RosterFloor = 50
+	// RosterCall (time) bounds one page's call.
+	RosterCall = 800 * time.Millisecond
+	// VitalsEvery (time) is the probing period of a back end by one proxy.
+	VitalsEvery = 700 * time.Millisecond
+	// VitalsWait (time) bounds one probe.
+	VitalsWait = 600 * time.Millisecond
+	// VitalsFails (probes) in a row make a back end failing at one proxy.
+	VitalsFails = 2
+
+	// ClaimWindow (time) is how long an attempt id is good for after its first sending, and the longest wait of an unsafe query; documented to callers.
+	ClaimWindow = 8 * time.Second
+	// ClaimKept (time) is how long a keeper remembers a claim: two windows.
+	ClaimKept = 2 * ClaimWindow
+	// ClaimReplicas (keepers) hold one claim.
+	ClaimReplicas = 3
+	// ClaimMajority (keepers) must say yes.
+	ClaimMajority = 2
+	// ClaimWait (time) bounds one claim round.
+	ClaimWait = 900 * time.Millisecond
+	// ClaimCopyEvery (time) is how often a new keeper asks the former ones.
+	ClaimCopyEvery = 200 * time.Millisecond
+
+	// MatchLife (time) is how long a caller may use a directory's outcome.
+	MatchLife = 2 * time.Second
+	// MatchProxies (proxies) are handed out at most.
+	MatchProxies = 3
+	// WaitMost (time) is the longest wait a caller may name.
+	WaitMost = 15 * time.Second
+	// ParkMost (time) is how long a query waits for a standing that is being moved.
+	ParkMost = 1500 * time.Millisecond
+	// ParkStep (time) is how often a parked query is asked about again.
+	ParkStep = 20 * time.Millisecond
+	// RetryAfter (time) is what a declined caller is told to wait: one failover is mostly over by then.
+	RetryAfter = time.Second
+	// BodyLimit (bytes) is the default for a query's body.
+	BodyLimit = 1 << 20
+	// OutcomeLimit (bytes) is the default for a back end's outcome.
+	OutcomeLimit = 4 << 20
+	// BodyLimitMost (bytes) is the most an entry may ask for.
+	BodyLimitMost = 16 << 20
+	// RepeatShare (percent) of first legs may be repeated: a fifth.
+	RepeatShare = 20
+	// RepeatAllowance (legs) a service and window, shared by all proxies.
+	RepeatAllowance = 10
+	// RepeatWindow (time) is the sliding window of the repeat budget.
+	RepeatWindow = 10 * time.Second
+	// ColdRamp (time) is how long a new back end is held below its full share.
+	ColdRamp = 10 * time.Second
+	// ColdFirst (legs per second) is what a cold back end may get from the whole fleet in its first second.
+	ColdFirst = 4
+	// Bearable (legs) a warm back end works on at once, the entry's default.
+	Bearable = 6
+	// KeyShare (percent) of a proxy's legs in flight to a service one key may hold.
+	KeyShare = 40
+	// ConnectWait (time) bounds a connection with its identity exchange.
+	ConnectWait = 700 * time.Millisecond
+	// SafeLegMost (time) bounds one repeat-safe leg so that another back end can still be tried.
+	SafeLegMost = 2 * time.Second
+	// IdleLife (time) is how long a proved connection may lie idle.
+	IdleLife = 4 * time.Second
+	// IdlePerBackend (connections) are kept at most.
+	IdlePerBackend = 8
+	// LegsMost (tries) bounds the legs of one repeat-safe query.
+	LegsMost = 4
+	// KeySlots (slots) divide the keys of a keyed service.
+	KeySlots = 64
+
+	// FrameLimit (bytes) is the largest frame between processes.
+	FrameLimit = 16 << 20
+	// FrameQueue (frames) waits for one peer at most; older queries are worth nothing.
+	FrameQueue = 1024
+	// DialWait (time) bounds a connection to a peer.
+	DialWait = 800 * time.Millisecond
+	// FrameStall (time) is when a write to a peer that takes nothing is given up.
+	FrameStall = 2 * time.Second
+	// DocumentLimit (bytes) of an operator's configuration: an eighth of a frame, so its rows fit one record.
+	DocumentLimit = 1 << 20
+	// EntriesLimit (entries) in one configuration.
+	EntriesLimit = 4096
+
+	// JournalFiles (files) in the ring.
+	JournalFiles = 4
+	// JournalFileBytes (bytes) of one preallocated file: a put of the largest document fits four times.
+	JournalFileBytes = 8 << 20
+	// ImageFileBytes (bytes) of one of the two preallocated image areas.
+	ImageFileBytes = 16 << 20
+	// SlowSync (time) of one sync at which a leader hands over.
+	SlowSync = 800 * time.Millisecond
+
+	// StopLinger (time) is how long a stopping proxy still accepts: a match's life and one spread.
+	StopLinger = MatchLife + 1200*time.Millisecond
+	// StopMost (time) bounds a planned stop: the longest wait a caller may name and the linger.
+	StopMost = StopLinger + WaitMost
+	// StaleList (time) is the list's age at which doctor complains.
+	StaleList = 10 * time.Second
+)
--- /dev/null
+++ b/internal/control/control.go
@@ -0,0 +1,293 @@
+// Package control is the operators' door: HTTP/1.1 with JSON on any node.
+package control
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+
+	"topazshed/internal/constants"
+	"topazshed/internal/core"
+	"topazshed/internal/proxy"
+	"topazshed/internal/schema"
+	"topazshed/internal/standing"
+)
+
+// Options make a Door.
+type Options struct {
+	Self    *schema.Node
+	Now     func() time.Duration
+	Local   func() *core.Local
+	Operate func(ctx context.Context, query *schema.OperatorQuery) (*schema.OperatorOutcome, error)
+	Stats   func() map[string]uint64
+	Keeper  func() (number uint64, isMember, isReady bool, claims int)
+	Disk    func() Disk
+	Match   http.Handler
+}
+
+// Disk is the state of a node's data folder.
+type Disk struct {
+	Folder     string `json:"folder,omitempty"`
+	LastSyncMs int64  `json:"last_sync_ms"`
+	WorstMs    int64  `json:"worst_sync_ms"`
+	Fault      string `json:"fault,omitempty"`
+}
+
+// Fault is one thing wrong with what an operator sent.
+type Fault struct {
+	Path    string `json:"path"`
+	Message string `json:"message"`
+}
+
+// Reply is what an operator gets.
+type Reply struct {
+	Version uint64  `json:"version"`
+	Index   uint64  `json:"index,omitempty"`
+	Kind    string  `json:"kind,omitempty"`
+	Message string  `json:"message,omitempty"`
+	Faults  []Fault `json:"faults,omitempty"`
+}
+
+// Standing is one row of the region map or of the entity rows, with the reason of its last change.
+type Standing struct {
+	Service string `json:"service"`
+	Path    string `json:"path"`
+	Kind    string `json:"kind"`
+	Region  string `json:"region"`
+	Active  string `json:"active"`
+	Number  uint64 `json:"number"`
+	Fenced  bool   `json:"fenced"`
+	Reason  string `json:"reason"`
+}
+
+// NodeStatus is a node as this one knows it.
+type NodeStatus struct {
+	ID       string `json:"id"`
+	Peer     string `json:"peer"`
+	Proxy    string `json:"proxy"`
+	Door     string `json:"door"`
+	District string `json:"district"`
+	Region   string `json:"region"`
+	Disk     bool   `json:"disk"`
+	State    string `json:"state"`
+}
+
+// DistrictStatus is a district as this node knows it.
+type DistrictStatus struct {
+	Name    string `json:"name"`
+	Region  string `json:"region"`
+	Residue uint32 `json:"residue"`
+	Emptied bool   `json:"emptied"`
+	Reason  string `json:"reason,omitempty"`
+}
+
+// BackendStatus is a back end as this node knows it.
+type BackendStatus struct {
+	Service  string `json:"service"`
+	Instance string `json:"instance"`
+	Address  string `json:"address"`
+	District string `json:"district"`
+	State    string `json:"state"`
+}
+
+// Status is what a node tells of itself and of what it knows.
+type Status struct {
+	Node          string            `json:"node"`
+	System        string            `json:"system"`
+	Role          string            `json:"role"`
+	Term          uint64            `json:"term"`
+	Leader        string            `json:"leader"`
+	Index         uint64            `json:"index"`
+	Rows          int               `json:"rows"`
+	Configuration uint64            `json:"configuration"`
+	Fit           bool              `json:"fit"`
+	FreshMs       int64             `json:"fresh_ms"`
+	GrantMs       int64             `json:"grant_ms"`
+	ListMs        int64             `json:"list_ms"`
+	ListFault     string            `json:"list_fault,omitempty"`
+	Voters        []string          `json:"voters"`
+	Learners      []string          `json:"learners"`
+	Suspects      []string          `json:"suspects"`
+	Keeper        map[string]any    `json:"keeper"`
+	Disk          *Disk             `json:"disk,omitempty"`
+	Outcomes      map[string]uint64 `json:"outcomes"`
+	Nodes         []NodeStatus      `json:"nodes"`
+	Districts     []DistrictStatus  `json:"districts"`
+	Standings     []Standing        `json:"standings"`
+	Entries       []string          `json:"entries"`
+	Backends      []BackendStatus   `json:"backends"`
+}
+
+// Door serves directory and operators.
+type Door struct{ options Options }
+
+// New makes the door's handler.
+func New(options Options) http.Handler {
+	d := &Door{options}
+	router := chi.NewRouter()
+	router.Method(http.MethodGet, "/v1/match", options.Match)
+	router.Get("/v1/status", d.status)
+	router.Get("/v1/configuration", d.show)
+	router.Put("/v1/configuration", d.put)
+	router.Get("/v1/configuration/outcome", d.ask)
+	router.Post("/v1/districts/{district}/empty", d.district(schema.OperatorKind_OPERATOR_EMPTY))
+	router.Post("/v1/districts/{district}/restore", d.district(schema.OperatorKind_OPERATOR_RESTORE))
+	router.NotFound(func(w http.ResponseWriter, r *http.Request) {
+		write(w, http.StatusNotFound, Reply{Kind: "unknown", Message: "no such call; see docs/operators.md for the door's calls"})
+	})
+	return router
+}
+
+func write(w http.ResponseWriter, status int, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	if status == http.StatusServiceUnavailable {
+		w.Header().Set("Retry-After", "1")
+	}
+	w.WriteHeader(status)
+	json.NewEncoder(w).Encode(body)
+}
+
+var statuses = map[schema.DeclineKind]int{
+	schema.DeclineKind_DECLINE_NONE: http.StatusOK, schema.DeclineKind_DECLINE_INVALID: http.StatusUnprocessableEntity,
+	schema.DeclineKind_DECLINE_CONFLICT: http.StatusConflict, schema.DeclineKind_DECLINE_UNKNOWN: http.StatusNotFound,
+	schema.DeclineKind_DECLINE_NO_LEADER: http.StatusServiceUnavailable, schema.DeclineKind_DECLINE_DOUBTFUL: http.StatusGatewayTimeout,
+	schema.DeclineKind_DECLINE_OVERSIZE: http.StatusRequestEntityTooLarge,
+}
+
+func (d *Door) operate(w http.ResponseWriter, r *http.Request, query *schema.OperatorQuery) *schema.OperatorOutcome {
+	ctx, cancel := context.WithTimeout(r.Context(), constants.ProposalWait+time.Second)
+	defer cancel()
+	outcome, err := d.options.Operate(ctx, query)
+	if err != nil {
+		write(w, http.StatusGatewayTimeout, Reply{Kind: "doubtful", Message: fmt.Sprintf("%v; the query may still be taken, read back before repeating", err)})
+		return nil
+	}
+	if outcome.Decline != schema.DeclineKind_DECLINE_NONE {
+		reply := Reply{Version: outcome.Version, Message: outcome.Message, Kind: strings.ToLower(strings.TrimPrefix(outcome.Decline.String(), "DECLINE_"))}
+		for _, fault := range outcome.Faults {
+			reply.Faults = append(reply.Faults, Fault{fault.Path, fault.Message})
+		}
+		write(w, statuses[outcome.Decline], reply)
+		return nil
+	}
+	return outcome
+}
+
+func (d *Door) put(w http.ResponseWriter, r *http.Request) {
+	base, err := strconv.ParseUint(r.URL.Query().Get("base"), 10, 64)
+	if err != nil {
+		write(w, http.StatusBadRequest, Reply{Kind: "bad-base", Message: "name the version that the document was based on: ?base=N, 0 for the first"})
+		return
+	}
+	document, err := io.ReadAll(io.LimitReader(r.Body, constants.DocumentLimit+1))
+	if err != nil {
+		write(w, http.StatusBadRequest, Reply{Kind: "cut-short", Message: "the document ended early; send it whole"})
+		return
+	}
+	if len(document) > constants.DocumentLimit {
+		write(w, http.StatusRequestEntityTooLarge, Reply{Kind: "oversize", Message: fmt.Sprintf("the document is above %d bytes; send less", constants.DocumentLimit)})
+		return
+	}
+	if outcome := d.operate(w, r, &schema.OperatorQuery{Kind: schema.OperatorKind_OPERATOR_PUT, Document: document, Base: base, Key: r.Header.Get("Topazshed-Operator-Key")}); outcome != nil {
+		write(w, http.StatusOK, Reply{Version: outcome.Version, Index: outcome.Index})
+	}
+}
+
+func (d *Door) show(w http.ResponseWriter, r *http.Request) {
+	outcome := d.operate(w, r, &schema.OperatorQuery{Kind: schema.OperatorKind_OPERATOR_SHOW})
+	if outcome == nil {
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Topazshed-Version", strconv.FormatUint(outcome.Version, 10))
+	if outcome.Version == 0 {
+		outcome.Document = []byte(`{"entries":[]}`)
+	}
+	w.Write(outcome.Document)
+}
+
+func (d *Door) ask(w http.ResponseWriter, r *http.Request) {
+	if outcome := d.operate(w, r, &schema.OperatorQuery{Kind: schema.OperatorKind_OPERATOR_ASK, Key: r.URL.Query().Get("key")}); outcome != nil {
+		write(w, http.StatusOK, Reply{Version: outcome.Version, Index: outcome.Index})
+	}
+}
+
+func (d *Door) district(kind schema.OperatorKind) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		query := &schema.OperatorQuery{Kind: kind, District: chi.URLParam(r, "district"), Reason: r.URL.Query().Get("reason")}
+		if query.Reason == "" {
+			query.Reason = "operator"
+		}
+		if outcome := d.operate(w, r, query); outcome != nil {
+			write(w, http.StatusOK, Reply{Index: outcome.Index})
+		}
+	}
+}
+
+func (d *Door) status(w http.ResponseWriter, r *http.Request) {
+	write(w, http.StatusOK, d.Status())
+}
+
+// Status gathers what this node knows.
+func (d *Door) Status() *Status {
+	now, local := d.options.Now(), d.options.Local()
+	view := local.View
+	s := &Status{Node: d.options.Self.Id, System: local.System, Role: local.Role, Term: local.Term, Leader: local.Leader, Index: view.Version, Rows: local.Rows,
+		Configuration: view.Head.Version, Fit: proxy.IsFit(now, local), FreshMs: (now - local.FreshAt).Milliseconds(), GrantMs: max(0, local.GrantUntil-now).Milliseconds(),
+		ListMs: -1, ListFault: local.ListFault, Suspects: local.Suspects, Outcomes: d.options.Stats()}
+	if local.ListAt > 0 {
+		s.ListMs = (now - local.ListAt).Milliseconds()
+	}
+	number, isMember, isReady, claims := d.options.Keeper()
+	s.Keeper = map[string]any{"number": number, "member": isMember, "ready": isReady, "claims": claims}
+	if d.options.Self.Disk {
+		disk := d.options.Disk()
+		s.Disk = &disk
+		for _, m := range local.Members.GetVoters() {
+			s.Voters = append(s.Voters, m.Id)
+		}
+		for _, m := range local.Members.GetLearners() {
+			s.Learners = append(s.Learners, m.Id)
+		}
+	}
+	for _, node := range view.Nodes {
+		s.Nodes = append(s.Nodes, NodeStatus{node.Id, node.Address, node.Proxy, node.Door, node.District, node.Region, node.Disk, strings.ToLower(strings.TrimPrefix(node.State.String(), "NODE_"))})
+	}
+	slices.SortFunc(s.Nodes, func(a, b NodeStatus) int { return strings.Compare(a.ID, b.ID) })
+	for _, district := range view.Districts {
+		s.Districts = append(s.Districts, DistrictStatus{district.Name, district.Region, district.Residue, district.Emptied, district.Reason})
+	}
+	slices.SortFunc(s.Districts, func(a, b DistrictStatus) int { return strings.Compare(a.Name, b.Name) })
+	for _, service := range view.Services {
+		for _, entry := range service.Entries {
+			s.Entries = append(s.Entries, entry.Service+entry.Path)
+			for _, row := range service.Standings[entry.Path] {
+				s.Standings = append(s.Standings, Standing{row.Service, row.Path, "region", row.Region, standing.GroupName(view, row.Number), row.Number, row.Fenced, row.Reason})
+			}
+			if row := service.Entities[entry.Path]; row != nil && standing.IsBound(entry) {
+				s.Standings = append(s.Standings, Standing{row.Service, row.Path, "entity", row.Region, standing.GroupName(view, row.Number), row.Number, row.Fenced, row.Reason})
+			}
+		}
+		for _, b := range service.Backends {
+			state := strings.ToLower(strings.TrimPrefix(b.State.String(), "BACKEND_"))
+			if b.Failing {
+				state += ", failing"
+			}
+			s.Backends = append(s.Backends, BackendStatus{b.Service, b.Instance, b.Address, b.District, state})
+		}
+	}
+	slices.Sort(s.Entries)
+	slices.SortFunc(s.Standings, func(a, b Standing) int {
+		return strings.Compare(a.Service+a.Path+a.Kind+a.Region, b.Service+b.Path+b.Kind+b.Region)
+	})
+	slices.SortFunc(s.Backends, func(a, b BackendStatus) int { return strings.Compare(a.Service+a.Instance, b.Service+b.Instance) })
+	return s
+}
--- /dev/null
+++ b/internal/core/core.go
@@ -0,0 +1,773 @@
+// Package core is the control machine of one node: agreement, membership, spread and standing without I/O.
+package core
+
+import (
+	"fmt"
+	"log/slog"
+	"maps"
+	"slices"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"topazshed/internal/constants"
+	"topazshed/internal/image"
+	"topazshed/internal/neighbours"
+	"topazshed/internal/quorum"
+	"topazshed/internal/roster"
+	"topazshed/internal/schema"
+	"topazshed/internal/standing"
+)
+
+// Options make a Core. Hard, Image and Items are what the journal held; Draw is the seeded source.
+type Options struct {
+	Self    *schema.Node
+	Seeds   []string
+	System  string
+	Hard    *schema.HardState
+	Image   *schema.Image
+	Items   []*schema.LogItem
+	Draw    func(int64) int64
+	Log     *slog.Logger
+	Restart bool
+}
+
+// Send is a frame for an address.
+type Send struct {
+	To    string
+	Frame *schema.Frame
+}
+
+// Outcome answers a local operator's query.
+type Outcome struct {
+	Ticket  uint64
+	Outcome *schema.OperatorOutcome
+}
+
+// Effects are what the shell performs: sync, then send and answer.
+type Effects struct {
+	Quorum   quorum.Ready
+	Hard     *schema.HardState
+	Sends    []Send
+	Outcomes []Outcome
+	IsWork   bool
+}
+
+// Local is what the hot path of this node may rely on; it is never changed once published.
+type Local struct {
+	View       *image.View
+	Held       map[string]bool
+	IsFull     bool
+	FreshAt    time.Duration
+	GrantUntil time.Duration
+	ThawedAt   time.Duration
+	TickAt     time.Duration
+	PeersAt    time.Duration
+	Leader     string
+	System     string
+	Role       string
+	Term       uint64
+	Commit     uint64
+	Members    *schema.Members
+	ListAt     time.Duration
+	ListFault  string
+	Suspects   []string
+	Known      int
+	Rows       int
+	IsStopping bool
+	First      uint64
+}
+
+type waiter struct {
+	ticket uint64
+	call   uint64
+	to     string
+	index  uint64
+	term   uint64
+	until  time.Duration
+	query  *schema.OperatorQuery
+	isRead bool
+	isSent bool
+}
+
+type granted struct {
+	until       time.Duration
+	version     uint64
+	heard       time.Duration
+	suspects    []string
+	keepers     uint64
+	keeperReady bool
+	firstHeard  time.Duration
+	node        *schema.Node
+}
+
+type subscriber struct {
+	prefixes []string
+	wanted   []string
+	sent     uint64
+	serial   uint64
+	renewed  time.Duration
+	sentAt   time.Duration
+}
+
+// Core is the machine.
+type Core struct {
+	options    Options
+	log        *slog.Logger
+	self       *schema.Node
+	system     string
+	quorum     *quorum.Quorum
+	table      *image.Table
+	view       *image.View
+	near       *neighbours.Neighbours
+	rost       *roster.Roster
+	effects    Effects
+	now        time.Duration
+	tickedAt   time.Duration
+	thawedAt   time.Duration
+	leader     string
+	leaderAt   time.Duration
+	beatAt     time.Duration
+	beats      map[uint64]time.Duration
+	serial     uint64
+	grantUntil time.Duration
+	freshAt    time.Duration
+	held       map[string]bool
+	wanted     map[string]time.Duration
+	source     string
+	sourceAt   time.Duration
+	subSerial  uint64
+	subAt      time.Duration
+	subs       map[uint64]time.Duration
+	digestAt   time.Duration
+	subscriber map[string]*subscriber
+	nodes      map[string]*granted
+	planAt     time.Duration
+	wasLeader  bool
+	electedAt  time.Duration
+	releasedAt map[uint64]time.Duration
+	waiters    []*waiter
+	reads      map[uint64]*waiter
+	nextRead   uint64
+	whoAt      time.Duration
+	seeds      map[string]time.Duration
+	empties    map[string]bool
+	emptySince time.Duration
+	listAt     time.Duration
+	listFault  string
+	sweep      *roster.Sweep
+	vitals     []*schema.Vital
+	keepers    uint64
+	isKeeping  bool
+	peers      map[string]time.Duration
+	memberAt   time.Duration
+	pending    map[string]uint64
+	verdicts   map[uint64]string
+	imageAt    uint64
+}
+
+// New restores a node from its journal, or makes an empty one.
+func New(now time.Duration, options Options) *Core {
+	c := &Core{options: options, log: options.Log, self: proto.Clone(options.Self).(*schema.Node), system: options.System,
+		table: image.NewTable(), view: image.NewView(), rost: roster.New(), beats: map[uint64]time.Duration{}, held: map[string]bool{},
+		wanted: map[string]time.Duration{}, subs: map[uint64]time.Duration{}, subscriber: map[string]*subscriber{}, nodes: map[string]*granted{},
+		releasedAt: map[uint64]time.Duration{}, reads: map[uint64]*waiter{}, seeds: map[string]time.Duration{}, empties: map[string]bool{},
+		peers: map[string]time.Duration{}, pending: map[string]uint64{}, verdicts: map[uint64]string{}, now: now, tickedAt: now}
+	c.near = neighbours.New(neighbours.Options{Self: c.self, Seeds: options.Seeds, Draw: options.Draw})
+	if options.Self.Disk {
+		if options.Image != nil {
+			c.table.Restore(options.Image)
+		}
+		c.quorum = quorum.New(now, quorum.Options{ID: c.self.Id, Hard: options.Hard, Image: options.Image, Items: options.Items, Draw: options.Draw, Whole: c.Whole})
+		c.view = image.Compile(c.table)
+		c.learnMembers()
+	}
+	return c
+}
+
+// Whole gives the image at the applied index, for a follower or for the disk.
+func (c *Core) Whole() *schema.Image {
+	whole := c.table.Whole()
+	c.quorum.Describe(whole)
+	return whole
+}
+
+// IsLeading tells whether this node leads and has settled.
+func (c *Core) IsLeading() bool { return c.quorum != nil && c.quorum.Settled() }
+
+func (c *Core) isFull() bool {
+	return c.quorum != nil && (c.quorum.IsVoter(c.self.Id) || slices.ContainsFunc(c.quorum.Members().Learners, func(m *schema.Member) bool { return m.Id == c.self.Id }))
+}
+
+func (c *Core) send(to string, frame *schema.Frame) {
+	if to == "" || to == c.self.Address {
+		return
+	}
+	frame.System, frame.From, frame.Address = c.system, c.self.Id, c.self.Address
+	c.effects.Sends = append(c.effects.Sends, Send{to, frame})
+}
+
+func (c *Core) learnMembers() {
+	if c.quorum == nil {
+		return
+	}
+	for _, m := range slices.Concat(c.quorum.Members().Voters, c.quorum.Members().Learners) {
+		if node := c.view.Nodes[m.Id]; node == nil {
+			c.near.Learn(&schema.Node{Id: m.Id, Address: m.Address, Disk: true})
+		}
+	}
+}
+
+// SetVitals takes this node's probes of back ends.
+func (c *Core) SetVitals(vitals []*schema.Vital) { c.vitals = vitals }
+
+// SetKeeper takes this node's state as a keeper.
+func (c *Core) SetKeeper(number uint64, isReady bool) { c.keepers, c.isKeeping = number, isReady }
+
+// Stop marks the node as stopping: it is told to the leader and no match names it any more.
+func (c *Core) Stop(now time.Duration) {
+	c.now = now
+	c.self.State = schema.NodeState_NODE_STOPPING
+	c.self.Incarnation++
+	c.beat()
+	if c.quorum != nil && c.quorum.Role() == quorum.Leader {
+		c.quorum.Handover(now)
+	}
+}
+
+// Want asks for a service's slice.
+func (c *Core) Want(now time.Duration, service string) {
+	prefix := image.ServicePrefix(service)
+	isNew := !c.held[prefix]
+	c.wanted[prefix] = now
+	if isNew && !c.isFull() {
+		c.subscribe(now)
+	}
+}
+
+// SetSweep takes a read of the platform's list; only the leader uses it.
+func (c *Core) SetSweep(now time.Duration, sweep roster.Sweep) {
+	c.now = now
+	c.listFault = sweep.Reason
+	if sweep.IsWhole {
+		c.listAt = now
+	}
+	c.sweep = &sweep
+	c.planAt = 0
+}
+
+// SlowDisk tells that a sync took too long or failed; a leader hands over.
+func (c *Core) SlowDisk(now time.Duration) {
+	if c.quorum != nil && c.quorum.Role() == quorum.Leader {
+		c.quorum.Handover(now)
+	}
+}
+
+// Receive takes a frame from another node.
+func (c *Core) Receive(now time.Duration, f *schema.Frame) {
+	c.now = now
+	if f.System != "" && c.system != "" && f.System != c.system {
+		c.log.Warn("frame of another system declined", "from", f.From, "system", f.System)
+		return
+	}
+	c.near.Heard(now, f.From)
+	if node := c.view.Nodes[f.From]; node != nil && node.Region == c.self.Region {
+		c.peers[f.From] = now
+	}
+	switch body := f.Body.(type) {
+	case *schema.Frame_Raft:
+		if c.quorum == nil || c.system != "" && f.System == "" {
+			return
+		}
+		if c.system == "" && (body.Raft.Kind == schema.RaftKind_RAFT_APPEND || body.Raft.Kind == schema.RaftKind_RAFT_IMAGE) {
+			c.adopt(f.System)
+		}
+		if c.system == "" {
+			return
+		}
+		c.quorum.Receive(now, body.Raft)
+		if c.quorum.LeaderID() == f.From {
+			c.leader, c.leaderAt = f.Address, now
+			c.freshAt = now
+		}
+	case *schema.Frame_Who:
+		c.near.Learn(body.Who.Node)
+		c.send(f.Address, &schema.Frame{Body: &schema.Frame_WhoOutcome{WhoOutcome: &schema.WhoOutcome{System: c.system, Leader: c.leader,
+			Nodes: c.near.Known(), Founding: c.options.Restart}}})
+	case *schema.Frame_WhoOutcome:
+		c.near.Learn(body.WhoOutcome.Nodes...)
+		c.seeds[f.Address] = now
+		c.empties[f.Address] = body.WhoOutcome.System == ""
+		if c.system == "" && body.WhoOutcome.System != "" {
+			c.adopt(body.WhoOutcome.System)
+		}
+		if c.leader == "" {
+			c.leader = body.WhoOutcome.Leader
+		}
+	case *schema.Frame_Shuffle:
+		for _, s := range c.near.Shuffle(f.Address, body.Shuffle) {
+			s.Frame.GetShuffle().System, s.Frame.GetShuffle().Leader = c.system, c.leader
+			c.send(s.To, s.Frame)
+		}
+		if c.system == "" && body.Shuffle.System != "" {
+			c.adopt(body.Shuffle.System)
+		}
+		if c.leader == "" || now-c.leaderAt > constants.NodeLostAfter && body.Shuffle.Leader != "" {
+			c.leader = body.Shuffle.Leader
+		}
+	case *schema.Frame_Probe:
+		c.send(f.Address, &schema.Frame{Body: &schema.Frame_ProbeOutcome{ProbeOutcome: &schema.ProbeOutcome{Subject: c.self.Id, Serial: body.Probe.Serial, Incarnation: c.self.Incarnation}}})
+	case *schema.Frame_ProbeOutcome:
+	case *schema.Frame_Beat:
+		c.takeBeat(f, body.Beat)
+	case *schema.Frame_BeatOutcome:
+		c.takeGrant(f, body.BeatOutcome)
+	case *schema.Frame_Subscribe:
+		c.takeSubscribe(f.Address, body.Subscribe)
+	case *schema.Frame_Delta:
+		c.takeDelta(f.Address, body.Delta)
+	case *schema.Frame_Digest:
+		if body.Digest.Version == c.table.Version() {
+			c.send(f.Address, &schema.Frame{Body: &schema.Frame_DigestOutcome{DigestOutcome: &schema.DigestOutcome{Version: body.Digest.Version, Differing: c.table.Differing(body.Digest.Ranges)}}})
+		}
+	case *schema.Frame_DigestOutcome:
+		if f.Address == c.source && len(body.DigestOutcome.Differing) > 0 {
+			c.log.Warn("ranges differ from the source and are fetched again", "ranges", body.DigestOutcome.Differing)
+			for _, prefix := range body.DigestOutcome.Differing {
+				delete(c.held, prefix)
+			}
+			c.subscribe(now)
+		}
+	case *schema.Frame_OperatorQuery:
+		c.operate(&waiter{call: f.Call, to: f.Address, query: body.OperatorQuery})
+	case *schema.Frame_OperatorOutcome:
+		for i, w := range c.waiters {
+			if w.isSent && w.ticket == f.Call {
+				c.effects.Outcomes = append(c.effects.Outcomes, Outcome{w.ticket, body.OperatorOutcome})
+				c.waiters = slices.Delete(c.waiters, i, i+1)
+				break
+			}
+		}
+	}
+}
+
+func (c *Core) adopt(system string) {
+	if system == "" || c.system != "" {
+		return
+	}
+	c.system = system
+	c.log.Info("system adopted", "system", system)
+}
+
+// Tick tells the time; the shell calls it every constants.Tick.
+func (c *Core) Tick(now time.Duration) {
+	c.now = now
+	if now-c.tickedAt > time.Second {
+		c.thawedAt = now
+		c.log.Warn("this process stood still and refreshes before it serves", "milliseconds", (now - c.tickedAt).Milliseconds())
+	}
+	c.tickedAt = now
+	for _, s := range c.near.Tick(now) {
+		if shuffle := s.Frame.GetShuffle(); shuffle != nil {
+			shuffle.System, shuffle.Leader = c.system, c.leader
+		}
+		c.send(s.To, s.Frame)
+	}
+	if c.system == "" {
+		c.found()
+		return
+	}
+	if c.quorum != nil {
+		c.quorum.Tick(now)
+		c.lead()
+	}
+	if now-c.beatAt >= constants.BeatEvery {
+		c.beat()
+	}
+	if !c.isFull() && now-c.subAt >= constants.SubscribeEvery {
+		c.subscribe(now)
+	}
+	c.spread()
+	c.expire()
+}
+
+func (c *Core) found() {
+	if c.now-c.whoAt >= constants.WhoEvery {
+		c.whoAt = c.now
+		for _, seed := range c.options.Seeds {
+			c.send(seed, &schema.Frame{Body: &schema.Frame_Who{Who: &schema.Who{Node: c.self}}})
+		}
+		for _, node := range c.near.Known() {
+			if !slices.Contains(c.options.Seeds, node.Address) {
+				c.send(node.Address, &schema.Frame{Body: &schema.Frame_Who{Who: &schema.Who{Node: c.self}}})
+			}
+		}
+	}
+	if c.quorum == nil || c.quorum.Last() > 0 || c.options.Hard.GetId() != "" && c.options.Restart {
+		return
+	}
+	seeds := slices.Sorted(slices.Values(c.options.Seeds))
+	if seeds[0] != c.self.Address {
+		return
+	}
+	for _, seed := range seeds {
+		if seed != c.self.Address && (!c.empties[seed] || c.now-c.seeds[seed] > 2*constants.WhoEvery) {
+			c.emptySince = 0
+			return
+		}
+	}
+	if c.emptySince == 0 {
+		c.emptySince = c.now
+	}
+	if c.now-c.emptySince < constants.FoundSettle {
+		return
+	}
+	c.system = fmt.Sprintf("%s-%08x", c.self.Id, c.options.Draw(1<<32))
+	c.log.Info("system founded", "system", c.system)
+	c.quorum.Found(c.now, &schema.Record{Kind: schema.RecordKind_RECORD_MEMBERS,
+		Members: &schema.Members{Voters: []*schema.Member{{Id: c.self.Id, Address: c.self.Address, District: c.self.District}}}, Reason: "founding"})
+}
+
+func (c *Core) beat() {
+	if c.system == "" {
+		return
+	}
+	c.beatAt = c.now
+	c.serial++
+	c.beats[c.serial] = c.now
+	delete(c.beats, c.serial-64)
+	b := &schema.Beat{Node: proto.Clone(c.self).(*schema.Node), Version: c.table.Version(), Vitals: c.vitals, Suspects: c.near.Suspects(), Serial: c.serial, Keepers: c.keepers, KeeperReady: c.isKeeping}
+	if c.quorum != nil && c.quorum.Role() == quorum.Leader {
+		c.takeBeat(&schema.Frame{From: c.self.Id, Address: c.self.Address}, b)
+		return
+	}
+	to := c.leader
+	if to == "" || to == c.self.Address || c.now-c.leaderAt > constants.RaftElectionLeast*2 && c.serial%2 == 0 {
+		to = c.pick(func(node *schema.Node) bool { return node.Disk })
+	}
+	c.send(to, &schema.Frame{Body: &schema.Frame_Beat{Beat: b}})
+}
+
+func (c *Core) pick(isFit func(*schema.Node) bool) string {
+	var options []string
+	for _, node := range c.near.Known() {
+		if isFit(node) {
+			options = append(options, node.Address)
+		}
+	}
+	for _, id := range slices.Sorted(maps.Keys(c.view.Nodes)) {
+		if node := c.view.Nodes[id]; id != c.self.Id && isFit(node) && node.State != schema.NodeState_NODE_LOST && !slices.Contains(options, node.Address) {
+			options = append(options, node.Address)
+		}
+	}
+	if len(options) == 0 {
+		options = c.options.Seeds
+	}
+	return options[c.options.Draw(int64(len(options)))]
+}
+
+func (c *Core) takeBeat(f *schema.Frame, b *schema.Beat) {
+	outcome := &schema.BeatOutcome{Leader: c.leader, Serial: b.Serial, Version: c.table.Version()}
+	isLeader := c.IsLeading()
+	if isLeader {
+		outcome.Leader, outcome.Accepted = c.self.Address, true
+		g := c.nodes[b.Node.Id]
+		if g == nil {
+			g = &granted{firstHeard: c.now}
+			c.nodes[b.Node.Id] = g
+		}
+		g.heard, g.version, g.suspects, g.node = c.now, b.Version, b.Suspects, b.Node
+		g.keepers, g.keeperReady = b.Keepers, b.KeeperReady
+		c.rost.Report(b.Node.Id, b.Vitals)
+		row := c.view.Nodes[b.Node.Id]
+		isKnown := row != nil && row.State != schema.NodeState_NODE_LOST && b.Node.State == row.State
+		if isKnown {
+			left := c.quorum.Contact() + constants.GrantTime - c.now
+			if left > 0 && b.Version >= c.newestFence() {
+				outcome.GrantMs = uint32(left.Milliseconds())
+				g.until = c.now + left + constants.GrantMargin
+			}
+		} else {
+			c.planAt = 0
+		}
+	}
+	if f.From == c.self.Id {
+		c.takeGrant(f, outcome)
+		return
+	}
+	c.send(f.Address, &schema.Frame{Body: &schema.Frame_BeatOutcome{BeatOutcome: outcome}})
+}
+
+func (c *Core) takeGrant(f *schema.Frame, o *schema.BeatOutcome) {
+	if !o.Accepted {
+		if o.Leader != "" && o.Leader != c.leader && o.Leader != f.Address {
+			c.leader, c.leaderAt = o.Leader, c.now
+			c.beatAt = 0
+		}
+		return
+	}
+	c.leader, c.leaderAt = f.Address, c.now
+	at, isKnown := c.beats[o.Serial]
+	if isKnown && o.GrantMs > 0 {
+		c.grantUntil = max(c.grantUntil, at+time.Duration(o.GrantMs)*time.Millisecond)
+	}
+}
+
+func (c *Core) prefixes() []string {
+	prefixes := slices.Clone(image.Common)
+	for _, prefix := range slices.Sorted(maps.Keys(c.wanted)) {
+		prefixes = append(prefixes, prefix)
+	}
+	return prefixes
+}
+
+func (c *Core) subscribe(now time.Duration) {
+	if c.system == "" {
+		return
+	}
+	c.subAt = now
+	if c.source == "" || now-c.sourceAt > constants.SourceSilent {
+		c.source = c.pick(func(node *schema.Node) bool {
+			return node.Disk && node.Region == c.self.Region && node.Address != c.source
+		})
+		if c.options.Draw(4) == 0 {
+			c.source = c.pick(func(node *schema.Node) bool { return node.Disk && node.Address != c.source })
+		}
+		c.sourceAt = now
+	}
+	c.subSerial++
+	c.subs[c.subSerial] = now
+	delete(c.subs, c.subSerial-64)
+	s := &schema.Subscribe{Version: c.table.Version(), Serial: c.subSerial}
+	for _, prefix := range c.prefixes() {
+		if c.held[prefix] {
+			s.Prefixes = append(s.Prefixes, prefix)
+		} else {
+			s.Wanted = append(s.Wanted, prefix)
+		}
+	}
+	c.send(c.source, &schema.Frame{Body: &schema.Frame_Subscribe{Subscribe: s}})
+	if now-c.digestAt >= constants.DigestEvery && len(s.Prefixes) > 0 {
+		c.digestAt = now
+		d := &schema.Digest{Version: c.table.Version()}
+		for _, prefix := range s.Prefixes {
+			d.Ranges = append(d.Ranges, c.table.Digest(prefix))
+		}
+		c.send(c.source, &schema.Frame{Body: &schema.Frame_Digest{Digest: d}})
+	}
+}
+
+func (c *Core) takeSubscribe(from string, s *schema.Subscribe) {
+	if !c.isFull() || c.table.Version() == 0 {
+		return
+	}
+	sub := c.subscriber[from]
+	if sub == nil {
+		sub = &subscriber{}
+		c.subscriber[from] = sub
+	}
+	sub.prefixes, sub.wanted, sub.serial, sub.renewed = s.Prefixes, s.Wanted, s.Serial, c.now
+	sub.sent = s.Version
+	c.push(from, sub)
+}
+
+func (c *Core) fullAge() time.Duration {
+	if c.quorum.Role() == quorum.Leader {
+		return c.now - c.quorum.Contact()
+	}
+	return c.now - c.freshAt
+}
+
+func (c *Core) push(to string, sub *subscriber) {
+	if sub.sent > c.table.Version() {
+		return
+	}
+	age := c.fullAge()
+	if age > time.Minute {
+		age = time.Minute
+	}
+	d := &schema.Delta{From: sub.sent, To: c.table.Version(), Serial: sub.serial, AgeMs: uint32(age.Milliseconds())}
+	rows, isRemembered := c.table.Changes(sub.sent, sub.prefixes)
+	if isRemembered {
+		d.Whole = sub.wanted
+		d.Rows = append(rows, c.table.Rows(sub.wanted)...)
+	} else {
+		d.All = true
+		d.Whole = slices.Concat(sub.prefixes, sub.wanted)
+		d.Rows = c.table.Rows(d.Whole)
+	}
+	sub.prefixes = slices.Concat(sub.prefixes, sub.wanted)
+	sub.wanted = nil
+	sub.sent, sub.sentAt = c.table.Version(), c.now
+	c.send(to, &schema.Frame{Body: &schema.Frame_Delta{Delta: d}})
+}
+
+func (c *Core) spread() {
+	for _, to := range slices.Sorted(maps.Keys(c.subscriber)) {
+		sub := c.subscriber[to]
+		if c.now-sub.renewed > constants.SubscriptionLife || !c.isFull() {
+			delete(c.subscriber, to)
+			continue
+		}
+		if sub.sent < c.table.Version() || c.now-sub.sentAt >= constants.DeltaEvery {
+			c.push(to, sub)
+		}
+	}
+}
+
+func (c *Core) takeDelta(from string, d *schema.Delta) {
+	if from != c.source || c.isFull() {
+		return
+	}
+	changed, isTaken := c.table.Merge(d)
+	if !isTaken {
+		if d.From > c.table.Version() {
+			c.subscribe(c.now)
+		}
+		return
+	}
+	c.sourceAt = c.now
+	for _, prefix := range d.Whole {
+		c.held[prefix] = true
+	}
+	if at, isKnown := c.subs[d.Serial]; isKnown {
+		c.freshAt = max(c.freshAt, at-time.Duration(d.AgeMs)*time.Millisecond)
+	}
+	c.publish(changed)
+}
+
+func (c *Core) publish(changed []*schema.Row) {
+	if len(changed) == 0 && c.view.Version == c.table.Version() {
+		return
+	}
+	c.view = c.view.With(c.table, changed)
+	if c.system == "" && c.view.System != "" {
+		c.system = c.view.System
+	}
+}
+
+// Local gives what the hot path may rely on now.
+func (c *Core) Local() *Local {
+	l := &Local{View: c.view, Held: maps.Clone(c.held), IsFull: c.isFull(), FreshAt: c.freshAt, GrantUntil: c.grantUntil, ThawedAt: c.thawedAt, TickAt: c.tickedAt,
+		Leader: c.leader, System: c.system, ListAt: c.listAt, ListFault: c.listFault, Suspects: c.near.Suspects(), Known: len(c.near.Known()), Rows: c.table.Size(),
+		IsStopping: c.self.State == schema.NodeState_NODE_STOPPING, Role: "reader"}
+	if c.quorum != nil {
+		l.Role, l.Term, l.Commit, l.Members, l.First = c.quorum.Role().String(), c.quorum.Term(), c.quorum.Commit(), c.quorum.Members(), c.quorum.First()
+		if c.quorum.Role() == quorum.Leader {
+			l.FreshAt = c.quorum.Contact()
+		}
+	}
+	count := 0
+	var instants []time.Duration
+	for id, node := range c.view.Nodes {
+		if node.Region == c.self.Region && node.State == schema.NodeState_NODE_READY {
+			count++
+			if id != c.self.Id {
+				instants = append(instants, c.peers[id])
+			}
+		}
+	}
+	if need := count / 2; need > 0 && len(instants) >= need {
+		slices.Sort(instants)
+		l.PeersAt = instants[len(instants)-need]
+	} else if need == 0 && count > 0 {
+		l.PeersAt = c.now
+	}
+	return l
+}
+
+// Take gives the effects that are due.
+func (c *Core) Take() Effects {
+	effects := c.effects
+	c.effects = Effects{}
+	if c.quorum != nil && c.system != "" {
+		effects.Quorum = c.quorum.Take()
+		for _, m := range effects.Quorum.Messages {
+			before := len(c.effects.Sends)
+			c.send(c.addressOf(m.To), &schema.Frame{Body: &schema.Frame_Raft{Raft: m}})
+			effects.Sends = append(effects.Sends, c.effects.Sends[before:]...)
+			c.effects.Sends = c.effects.Sends[:before]
+		}
+		if effects.Quorum.Hard != nil {
+			effects.Hard = proto.Clone(effects.Quorum.Hard).(*schema.HardState)
+			effects.Hard.Id, effects.Hard.System = c.self.Id, c.system
+		}
+	}
+	effects.IsWork = effects.Hard != nil || len(effects.Quorum.Items) > 0 || effects.Quorum.Image != nil || len(effects.Sends) > 0 || len(effects.Outcomes) > 0 ||
+		len(effects.Quorum.Reads) > 0 || len(effects.Quorum.LostReads) > 0
+	return effects
+}
+
+func (c *Core) addressOf(id string) string {
+	if g := c.nodes[id]; g != nil && c.now-g.heard < constants.NodeLostAfter {
+		return g.node.Address
+	}
+	for _, node := range c.near.Known() {
+		if node.Id == id {
+			return node.Address
+		}
+	}
+	if node := c.view.Nodes[id]; node != nil {
+		return node.Address
+	}
+	for _, m := range slices.Concat(c.quorum.Members().Voters, c.quorum.Members().Learners) {
+		if m.Id == id {
+			return m.Address
+		}
+	}
+	return ""
+}
+
+// Synced tells that the effects are on disk; committed items are applied now.
+func (c *Core) Synced(now time.Duration, effects Effects) {
+	c.now = now
+	if c.quorum == nil {
+		return
+	}
+	if effects.Quorum.Image != nil {
+		c.table.Restore(effects.Quorum.Image)
+		c.view = image.Compile(c.table)
+		c.imageAt = effects.Quorum.Image.Index
+	}
+	c.quorum.Synced(now, effects.Quorum)
+	var changed []*schema.Row
+	for _, item := range c.quorum.Committed() {
+		rows, err := c.table.Apply(item.Index, item.Record, standing.Check)
+		if err != nil {
+			c.verdicts[item.Index] = err.Error()
+			c.log.Info("record void", "index", item.Index, "reason", err.Error())
+		}
+		if c.table.Version() < item.Index {
+			continue
+		}
+		changed = append(changed, rows...)
+		if item.Record.Kind == schema.RecordKind_RECORD_MEMBERS {
+			c.log.Info("members", "voters", len(item.Record.Members.Voters), "learners", len(item.Record.Members.Learners), "reason", item.Record.Reason)
+		}
+		c.settle(item)
+	}
+	c.publish(changed)
+	for _, ticket := range effects.Quorum.Reads {
+		c.answerRead(ticket)
+	}
+	for _, ticket := range effects.Quorum.LostReads {
+		if w := c.reads[ticket]; w != nil {
+			delete(c.reads, ticket)
+			c.reply(w, &schema.OperatorOutcome{Decline: schema.DeclineKind_DECLINE_NO_LEADER, Message: "the leader changed while it answered; ask again"})
+		}
+	}
+	c.spread()
+}
+
+// Compactable tells whether a new image should be written.
+func (c *Core) Compactable() bool {
+	return c.quorum != nil && c.table.Version() >= c.imageAt+constants.RaftImageEvery
+}
+
+// Compacted tells that an image of that index is on disk.
+func (c *Core) Compacted(index uint64) {
+	c.imageAt = index
+	if index > constants.RaftKeepItems {
+		c.quorum.Compact(index - constants.RaftKeepItems)
+	}
+}
--- /dev/null
+++ b/internal/image/view.go
@@ -0,0 +1,146 @@
+package image
+
+import (
+	"maps"
+	"sort"
+	"strings"
+
+	"topazshed/internal/schema"
+)
+
+// Service is the compiled slice of one service; it is never changed once published.
+type Service struct {
+	Name      string
+	Entries   []*schema.Entry
+	Standings map[string]map[string]*schema.Standing
+	Entities  map[string]*schema.Entity
+	Backends  []*schema.Backend
+	Slots     map[uint32]*schema.KeyRange
+}
+
+// View is the compiled image that queries are decided on; it is never changed once published.
+type View struct {
+	Version   uint64
+	System    string
+	Head      *schema.CatalogHead
+	Nodes     map[string]*schema.Node
+	Regions   map[string]*schema.Region
+	Districts map[string]*schema.District
+	Keepers   map[string]*schema.Keepers
+	Services  map[string]*Service
+}
+
+// NewView makes an empty view.
+func NewView() *View {
+	return &View{Head: &schema.CatalogHead{}, Nodes: map[string]*schema.Node{}, Regions: map[string]*schema.Region{},
+		Districts: map[string]*schema.District{}, Keepers: map[string]*schema.Keepers{}, Services: map[string]*Service{}}
+}
+
+// Entry matches a path to the service's entry with the longest fitting path.
+func (s *Service) Entry(path string) *schema.Entry {
+	for _, entry := range s.Entries {
+		if path == entry.Path || strings.HasPrefix(path, strings.TrimSuffix(entry.Path, "/")+"/") {
+			return entry
+		}
+	}
+	return nil
+}
+
+func update[T any](table map[string]*T, isCloned *bool, key string, value *T) map[string]*T {
+	if !*isCloned {
+		table = maps.Clone(table)
+		*isCloned = true
+	}
+	if value == nil {
+		delete(table, key)
+	} else {
+		table[key] = value
+	}
+	return table
+}
+
+// With gives a view that has the changed rows; what did not change is shared.
+func (v *View) With(table *Table, changed []*schema.Row) *View {
+	fresh := *v
+	fresh.Version = table.Version()
+	var nodes, regions, districts, keepers bool
+	touched := map[string]bool{}
+	for _, row := range changed {
+		kind, rest, _ := strings.Cut(row.Key, "/")
+		switch kind {
+		case "node":
+			fresh.Nodes = update(fresh.Nodes, &nodes, rest, Decode[schema.Node](row))
+		case "region":
+			fresh.Regions = update(fresh.Regions, &regions, rest, Decode[schema.Region](row))
+		case "district":
+			fresh.Districts = update(fresh.Districts, &districts, rest, Decode[schema.District](row))
+		case "keepers":
+			fresh.Keepers = update(fresh.Keepers, &keepers, rest, Decode[schema.Keepers](row))
+		case "system":
+			fresh.System = string(row.Value)
+		case "catalog":
+			if row.Key == HeadKey {
+				if head := Decode[schema.CatalogHead](row); head != nil {
+					fresh.Head = head
+				}
+			}
+		case "s":
+			name, _, _ := strings.Cut(rest, "/")
+			touched[name] = true
+		}
+	}
+	if len(touched) > 0 {
+		fresh.Services = maps.Clone(fresh.Services)
+		for name := range touched {
+			if service := compile(table, name); service != nil {
+				fresh.Services[name] = service
+			} else {
+				delete(fresh.Services, name)
+			}
+		}
+	}
+	return &fresh
+}
+
+func compile(table *Table, name string) *Service {
+	service := &Service{Name: name, Standings: map[string]map[string]*schema.Standing{}, Entities: map[string]*schema.Entity{}, Slots: map[uint32]*schema.KeyRange{}}
+	prefix := ServicePrefix(name)
+	isThere := false
+	table.Each(prefix, func(row *schema.Row) {
+		isThere = true
+		kind, _, _ := strings.Cut(strings.TrimPrefix(row.Key, prefix), "/")
+		switch kind {
+		case "entry":
+			if entry := Decode[schema.Entry](row); entry != nil {
+				service.Entries = append(service.Entries, entry)
+			}
+		case "standing":
+			if standing := Decode[schema.Standing](row); standing != nil {
+				if service.Standings[standing.Path] == nil {
+					service.Standings[standing.Path] = map[string]*schema.Standing{}
+				}
+				service.Standings[standing.Path][standing.Region] = standing
+			}
+		case "entity":
+			if entity := Decode[schema.Entity](row); entity != nil {
+				service.Entities[entity.Path] = entity
+			}
+		case "backend":
+			if backend := Decode[schema.Backend](row); backend != nil {
+				service.Backends = append(service.Backends, backend)
+			}
+		case "slot":
+			if slot := Decode[schema.KeyRange](row); slot != nil {
+				service.Slots[slot.Slot] = slot
+			}
+		}
+	})
+	if !isThere {
+		return nil
+	}
+	sort.SliceStable(service.Entries, func(a, b int) bool { return len(service.Entries[a].Path) > len(service.Entries[b].Path) })
+	return service
+}
+
+// Compile makes a view of a whole table.
+func Compile(table *Table) *View { return NewView().With(table, table.Rows(All)) }
--- /dev/null
+++ b/internal/journal/journal.go
@@ -0,0 +1,434 @@
+// Package journal keeps a voter's log on a ring of preallocated files and its images in two areas.
+package journal
+
+import (
+	"bytes"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"hash/crc32"
+	"sort"
+
+	"google.golang.org/protobuf/proto"
+
+	"topazshed/internal/constants"
+	"topazshed/internal/schema"
+)
+
+// Area is one preallocated file.
+type Area interface {
+	ReadAt(p []byte, at int64) (int, error)
+	WriteAt(p []byte, at int64) (int, error)
+	Sync() error
+	Size() int64
+}
+
+// Disk gives the named areas; an area that isn't there is made at that size, all zero.
+type Disk interface {
+	Area(name string, size int64) (Area, error)
+}
+
+// Options size the ring.
+type Options struct {
+	Files      int
+	FileBytes  int64
+	ImageBytes int64
+}
+
+// DefaultOptions are the sizes in the constants.
+func DefaultOptions() Options {
+	return Options{constants.JournalFiles, constants.JournalFileBytes, constants.ImageFileBytes}
+}
+
+// CorruptError says that a record before the tail is bad, so that something accepted may be gone.
+type CorruptError struct {
+	File   string
+	Offset int64
+}
+
+func (e *CorruptError) Error() string {
+	return fmt.Sprintf("journal %s has a bad record at byte %d before its tail; this machine gives up its identity and rejoins empty", e.File, e.Offset)
+}
+
+// FullError says that the ring has no released file.
+type FullError struct{}
+
+func (e *FullError) Error() string {
+	return "the journal ring is full; an image must be written before more is logged"
+}
+
+// LargeError says that an image does not fit its area.
+type LargeError struct{ Size, Limit int64 }
+
+func (e *LargeError) Error() string {
+	return fmt.Sprintf("an image of %d bytes does not fit its area of %d; raise the image area or put fewer entries", e.Size, e.Limit)
+}
+
+// State is what a journal held when it was opened.
+type State struct {
+	Hard  *schema.HardState
+	Image *schema.Image
+	Items []*schema.LogItem
+	Torn  bool
+}
+
+const (
+	recordHead  = 24
+	kindHard    = 1
+	kindItem    = 2
+	fileMagic   = 0x7a5d0001
+	imageMagic  = 0x7a5d0002
+	fileHead    = 24
+	imageHead   = 32
+	recordGuard = 0x7a5d
+)
+
+var table = crc32.MakeTable(crc32.Castagnoli)
+
+type ringFile struct {
+	name       string
+	area       Area
+	generation uint64
+	lastIndex  uint64
+	end        int64
+}
+
+// Journal is the open ring.
+type Journal struct {
+	options    Options
+	files      []*ringFile
+	images     [2]Area
+	imageNext  int
+	imageIndex uint64
+	serial     uint64
+	current    int
+	hard       *schema.HardState
+}
+
+// Open reads everything back, cuts a torn tail and reports a bad record before it.
+func Open(disk Disk, options Options) (*Journal, *State, error) {
+	j := &Journal{options: options, hard: &schema.HardState{}}
+	state := &State{Hard: &schema.HardState{}}
+	for i := range options.Files {
+		name := fmt.Sprintf("ring-%d", i)
+		area, err := disk.Area(name, options.FileBytes)
+		if err != nil {
+			return nil, nil, err
+		}
+		j.files = append(j.files, &ringFile{name: name, area: area, end: fileHead})
+	}
+	var serials [2]uint64
+	var imageFaults int
+	for i := range j.images {
+		area, err := disk.Area(fmt.Sprintf("image-%d", i), options.ImageBytes)
+		if err != nil {
+			return nil, nil, err
+		}
+		j.images[i] = area
+		image, serial, err := readImage(area)
+		if err != nil {
+			imageFaults++
+			continue
+		}
+		serials[i] = serial
+		if image != nil && (state.Image == nil || image.Index > state.Image.Index) {
+			state.Image = image
+			j.imageNext = 1 - i
+		}
+	}
+	if state.Image != nil {
+		j.imageIndex = state.Image.Index
+	}
+	if err := j.readRing(state); err != nil {
+		return nil, nil, err
+	}
+	if len(state.Items) > 0 && state.Items[0].Index > j.imageIndex+1 {
+		return nil, nil, &CorruptError{"image", 0}
+	}
+	if imageFaults == 2 && state.Hard.Id != "" {
+		return nil, nil, &CorruptError{"image", 0}
+	}
+	for len(state.Items) > 0 && state.Items[0].Index <= j.imageIndex {
+		state.Items = state.Items[1:]
+	}
+	if len(state.Items) > 0 && state.Image != nil && state.Items[0].Term < state.Image.Term {
+		state.Items = nil
+	}
+	j.hard = proto.Clone(state.Hard).(*schema.HardState)
+	return j, state, nil
+}
+
+func readImage(area Area) (*schema.Image, uint64, error) {
+	head := make([]byte, imageHead)
+	if _, err := area.ReadAt(head, 0); err != nil {
+		return nil, 0, err
+	}
+	if bytes.Equal(head, make([]byte, imageHead)) {
+		return nil, 0, nil
+	}
+	size := binary.BigEndian.Uint64(head[8:])
+	if binary.BigEndian.Uint32(head) != imageMagic || int64(size) > area.Size()-imageHead {
+		return nil, 0, &CorruptError{"image", 0}
+	}
+	text := make([]byte, size)
+	if _, err := area.ReadAt(text, imageHead); err != nil {
+		return nil, 0, err
+	}
+	if crc32.Checksum(text, table) != binary.BigEndian.Uint32(head[4:]) {
+		return nil, 0, &CorruptError{"image", imageHead}
+	}
+	image := &schema.Image{}
+	if err := proto.Unmarshal(text, image); err != nil {
+		return nil, 0, &CorruptError{"image", imageHead}
+	}
+	return image, image.Index, nil
+}
+
+func (j *Journal) readRing(state *State) error {
+	type found struct {
+		file *ringFile
+		slot int
+	}
+	var order []found
+	for slot, file := range j.files {
+		head := make([]byte, fileHead)
+		if _, err := file.area.ReadAt(head, 0); err != nil {
+			return fmt.Errorf("read %s: %w", file.name, err)
+		}
+		if binary.BigEndian.Uint32(head) != fileMagic || crc32.Checksum(head[8:], table) != binary.BigEndian.Uint32(head[4:]) {
+			if !bytes.Equal(head, make([]byte, fileHead)) {
+				state.Torn = true
+			}
+			continue
+		}
+		file.generation = binary.BigEndian.Uint64(head[8:])
+		order = append(order, found{file, slot})
+	}
+	sort.Slice(order, func(a, b int) bool { return order[a].file.generation < order[b].file.generation })
+	var last uint64
+	isFirst := true
+	for i, it := range order {
+		if i > 0 && it.file.generation != order[i-1].file.generation+1 {
+			return &CorruptError{it.file.name, 0}
+		}
+		text := make([]byte, it.file.area.Size())
+		if _, err := it.file.area.ReadAt(text, 0); err != nil {
+			return fmt.Errorf("read %s: %w", it.file.name, err)
+		}
+		at := int64(fileHead)
+		for {
+			payload, kind, serial, size, isGood := parse(text, at, it.file.generation)
+			if !isGood || (!isFirst && serial != last+1) {
+				break
+			}
+			isFirst = false
+			last = serial
+			if err := it.file.take(state, kind, payload); err != nil {
+				return &CorruptError{it.file.name, at}
+			}
+			at += size
+		}
+		it.file.end = at
+		isLast := i == len(order)-1
+		if isLast {
+			for probe := at; probe+recordHead <= int64(len(text)); probe++ {
+				if binary.BigEndian.Uint16(text[probe:]) != recordGuard {
+					continue
+				}
+				if _, _, serial, _, isGood := parse(text, probe, it.file.generation); isGood && serial > last {
+					return &CorruptError{it.file.name, at}
+				}
+			}
+			if at+recordHead <= int64(len(text)) && binary.BigEndian.Uint16(text[at:]) == recordGuard && binary.BigEndian.Uint64(text[at+12:]) == last+1 {
+				state.Torn = true
+			}
+		} else {
+			next := make([]byte, it.file.area.Size())
+			if _, err := order[i+1].file.area.ReadAt(next, 0); err != nil {
+				return fmt.Errorf("read %s: %w", order[i+1].file.name, err)
+			}
+			if _, _, serial, _, isGood := parse(next, fileHead, order[i+1].file.generation); isGood && serial != last+1 {
+				return &CorruptError{it.file.name, at}
+			}
+		}
+		j.current = it.slot
+	}
+	j.serial = last
+	return nil
+}
+
+func (f *ringFile) take(state *State, kind byte, payload []byte) error {
+	switch kind {
+	case kindHard:
+		hard := &schema.HardState{}
+		if err := proto.Unmarshal(payload, hard); err != nil {
+			return err
+		}
+		state.Hard = hard
+	case kindItem:
+		item := &schema.LogItem{}
+		if err := proto.Unmarshal(payload, item); err != nil {
+			return err
+		}
+		for len(state.Items) > 0 && state.Items[len(state.Items)-1].Index >= item.Index {
+			state.Items = state.Items[:len(state.Items)-1]
+		}
+		if len(state.Items) > 0 && state.Items[len(state.Items)-1].Index+1 != item.Index {
+			state.Items = nil
+		}
+		state.Items = append(state.Items, item)
+		f.lastIndex = max(f.lastIndex, item.Index)
+	}
+	return nil
+}
+
+func parse(text []byte, at int64, generation uint64) (payload []byte, kind byte, serial uint64, size int64, isGood bool) {
+	if at+recordHead > int64(len(text)) || binary.BigEndian.Uint16(text[at:]) != recordGuard {
+		return
+	}
+	kind = text[at+2]
+	length := int64(binary.BigEndian.Uint32(text[at+4:]))
+	sum := binary.BigEndian.Uint32(text[at+8:])
+	serial = binary.BigEndian.Uint64(text[at+12:])
+	size = recordHead + length
+	if at+size > int64(len(text)) {
+		return
+	}
+	payload = text[at+recordHead : at+size]
+	return payload, kind, serial, size, checksum(generation, kind, serial, payload) == sum
+}
+
+func checksum(generation uint64, kind byte, serial uint64, payload []byte) uint32 {
+	var head [17]byte
+	binary.BigEndian.PutUint64(head[:], generation)
+	binary.BigEndian.PutUint64(head[8:], serial)
+	head[16] = kind
+	return crc32.Update(crc32.Checksum(head[:], table), table, payload)
+}
+
+func (j *Journal) record(kind byte, message proto.Message) ([]byte, error) {
+	payload, err := proto.Marshal(message)
+	if err != nil {
+		return nil, fmt.Errorf("encode journal record: %w", err)
+	}
+	j.serial++
+	text := make([]byte, recordHead+len(payload))
+	binary.BigEndian.PutUint16(text, recordGuard)
+	text[2] = kind
+	binary.BigEndian.PutUint32(text[4:], uint32(len(payload)))
+	binary.BigEndian.PutUint32(text[8:], checksum(j.files[j.current].generation, kind, j.serial, payload))
+	binary.BigEndian.PutUint64(text[12:], j.serial)
+	copy(text[recordHead:], payload)
+	return text, nil
+}
+
+func (j *Journal) turn() error {
+	slot := j.current
+	if j.files[j.current].generation > 0 {
+		slot = (j.current + 1) % len(j.files)
+	}
+	file := j.files[slot]
+	if file.generation > 0 && file.lastIndex > j.imageIndex {
+		return &FullError{}
+	}
+	file.generation = j.files[j.current].generation + 1
+	file.lastIndex = 0
+	file.end = fileHead
+	head := make([]byte, fileHead)
+	binary.BigEndian.PutUint32(head, fileMagic)
+	binary.BigEndian.PutUint64(head[8:], file.generation)
+	binary.BigEndian.PutUint32(head[4:], crc32.Checksum(head[8:], table))
+	if j.files[j.current] != file {
+		if err := j.files[j.current].area.Sync(); err != nil {
+			return err
+		}
+	}
+	j.current = slot
+	if _, err := file.area.WriteAt(head, 0); err != nil {
+		return err
+	}
+	return j.put(kindHard, j.hard, 0)
+}
+
+func (j *Journal) put(kind byte, message proto.Message, index uint64) error {
+	file := j.files[j.current]
+	serial := j.serial
+	text, err := j.record(kind, message)
+	if err != nil {
+		return err
+	}
+	if file.generation == 0 || file.end+int64(len(text)) > file.area.Size() {
+		j.serial = serial
+		if int64(len(text)) > j.options.FileBytes-fileHead-4096 {
+			return &LargeError{int64(len(text)), j.options.FileBytes}
+		}
+		if err := j.turn(); err != nil {
+			return err
+		}
+		return j.put(kind, message, index)
+	}
+	if _, err := file.area.WriteAt(text, file.end); err != nil {
+		return err
+	}
+	file.end += int64(len(text))
+	file.lastIndex = max(file.lastIndex, index)
+	return nil
+}
+
+// Append writes the state and items and returns after they are synced.
+func (j *Journal) Append(hard *schema.HardState, items []*schema.LogItem) error {
+	if hard != nil && !proto.Equal(hard, j.hard) {
+		j.hard = proto.Clone(hard).(*schema.HardState)
+		if err := j.put(kindHard, j.hard, 0); err != nil {
+			return err
+		}
+	} else if len(items) == 0 {
+		return nil
+	}
+	for _, item := range items {
+		if err := j.put(kindItem, item, item.Index); err != nil {
+			return err
+		}
+	}
+	return j.files[j.current].area.Sync()
+}
+
+// PutImage writes a whole image to the older area, reads it back, and releases the files behind it.
+func (j *Journal) PutImage(image *schema.Image) error {
+	text, err := proto.MarshalOptions{Deterministic: true}.Marshal(image)
+	if err != nil {
+		return fmt.Errorf("encode image: %w", err)
+	}
+	if int64(len(text)) > j.options.ImageBytes-imageHead {
+		return &LargeError{int64(len(text)), j.options.ImageBytes}
+	}
+	area := j.images[j.imageNext]
+	head := make([]byte, imageHead)
+	binary.BigEndian.PutUint32(head, imageMagic)
+	binary.BigEndian.PutUint32(head[4:], crc32.Checksum(text, table))
+	binary.BigEndian.PutUint64(head[8:], uint64(len(text)))
+	if _, err := area.WriteAt(append(head, text...), 0); err != nil {
+		return fmt.Errorf("write image: %w", err)
+	}
+	if err := area.Sync(); err != nil {
+		return fmt.Errorf("sync image: %w", err)
+	}
+	read, _, err := readImage(area)
+	if err != nil {
+		return errors.Join(errors.New("image differs from what was written; check the disk"), err)
+	}
+	j.imageIndex = read.Index
+	j.imageNext = 1 - j.imageNext
+	return nil
+}
+
+// NeedsImage tells whether the next file of the ring is still held.
+func (j *Journal) NeedsImage() bool {
+	held := 0
+	for _, file := range j.files {
+		if file.generation > 0 && file.lastIndex > j.imageIndex {
+			held++
+		}
+	}
+	return held >= len(j.files)-1
+}
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,603 @@
+// Package node joins the parts of one process: it feeds the machines, performs their effects and serves HTTP.
+package node
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"math/big"
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"topazshed/internal/claim"
+	"topazshed/internal/constants"
+	"topazshed/internal/control"
+	"topazshed/internal/core"
+	"topazshed/internal/directory"
+	"topazshed/internal/frame"
+	"topazshed/internal/image"
+	"topazshed/internal/journal"
+	"topazshed/internal/kernel"
+	"topazshed/internal/proxy"
+	"topazshed/internal/roster"
+	"topazshed/internal/schema"
+	"topazshed/internal/settings"
+)
+
+// Node is one running process.
+type Node struct {
+	*kernel.Kernel
+	settings *settings.Settings
+	log      *slog.Logger
+	begun    time.Time
+	self     *schema.Node
+	core     *core.Core
+	commands chan func()
+	local    atomic.Pointer[core.Local]
+	keeper   *claim.Keeper
+	net      *frame.Net
+	journal  *journal.Journal
+	calls    sync.Map
+	serial   atomic.Uint64
+	operates sync.Map
+	loads    *proxy.Loads
+	pool     *proxy.Pool
+	executor *proxy.Executor
+	disk     atomic.Pointer[control.Disk]
+	context  context.Context
+	cancel   context.CancelFunc
+	tasks    sync.WaitGroup
+	stopping atomic.Bool
+	servers  []*http.Server
+	fatal    chan error
+}
+
+func draw(n int64) int64 {
+	if n <= 0 {
+		return 0
+	}
+	value, err := rand.Int(rand.Reader, big.NewInt(n))
+	if err != nil {
+		panic(fmt.Sprintf("random source: %v", err))
+	}
+	return value.Int64()
+}
+
+func newID() string {
+	var text [6]byte
+	rand.Read(text[:])
+	return hex.EncodeToString(text[:])
+}
+
+// Start brings a process up.
+func Start(s *settings.Settings, log *slog.Logger) (*Node, error) {
+	n := &Node{Kernel: kernel.New(), settings: s, log: log, begun: time.Now(), commands: make(chan func(), 4096), fatal: make(chan error, 1)}
+	n.context, n.cancel = context.WithCancel(context.Background())
+	n.local.Store(&core.Local{View: image.NewView()})
+	n.disk.Store(&control.Disk{Folder: s.Data})
+	if err := n.start(); err != nil {
+		n.cancel()
+		return nil, errors.Join(err, n.Close())
+	}
+	return n, nil
+}
+
+// Now is the process's own monotonic clock; it starts an hour in so that no zero time is recent.
+func (n *Node) Now() time.Duration { return time.Since(n.begun) + time.Hour }
+
+func (n *Node) start() error {
+	n.self = &schema.Node{Id: newID(), Address: n.settings.PeerShown, Proxy: n.settings.ProxyShow, Door: n.settings.DoorShown, District: n.settings.District,
+		Region: n.settings.Region, Disk: n.settings.Data != "", Incarnation: uint64(time.Now().UnixMilli()), State: schema.NodeState_NODE_READY}
+	options := core.Options{Self: n.self, Seeds: n.settings.Seeds, Draw: draw, Log: n.log.With("part", "core")}
+	if n.self.Disk {
+		state, err := n.openJournal()
+		if err != nil {
+			return err
+		}
+		options.Hard, options.Image, options.Items = state.Hard, state.Image, state.Items
+		options.System, options.Restart = state.Hard.System, state.Hard.Id != ""
+		if options.Restart {
+			n.self.Id = state.Hard.Id
+		}
+	}
+	n.log = n.log.With("node", n.self.Id)
+	n.keeper = claim.NewKeeper(n.self.Id, options.Restart)
+	n.core = core.New(n.Now(), options)
+	n.pool = proxy.NewPool(n.settings.Proxy)
+	n.Push("pool", n.pool.Close)
+	n.loads = proxy.NewLoads(n.Now)
+	n.executor = proxy.NewExecutor(proxy.Options{Self: n.self, Now: n.Now, Local: n.local.Load, Want: n.want, Call: n.Call, Draw: draw, Pool: n.pool, Loads: n.loads, Log: n.log.With("part", "proxy")})
+	finder := directory.New(directory.Options{Self: n.self, Now: n.Now, Local: n.local.Load, Want: n.want, Draw: draw})
+	door := control.New(control.Options{Self: n.self, Now: n.Now, Local: n.local.Load, Operate: n.operate, Stats: n.executor.Stats, Keeper: n.keeper.State,
+		Disk: func() control.Disk { return *n.disk.Load() }, Match: finder})
+	for name, service := range map[string]any{"core": n.core, "keeper": n.keeper, "pool": n.pool, "loads": n.loads, "executor": n.executor, "directory": finder, "door": door} {
+		if err := n.Register(name, service); err != nil {
+			return err
+		}
+	}
+	network, err := frame.Open(frame.Options{Listen: n.settings.Peer, Handle: n.handle, Log: n.log.With("part", "frame")})
+	if err != nil {
+		return err
+	}
+	n.net = network
+	n.tasks.Go(n.own)
+	n.Push("owner", func() error {
+		n.cancel()
+		err := network.Close()
+		n.tasks.Wait()
+		return err
+	})
+	if err := n.serve("proxy", n.settings.Proxy, n.proxyHandler()); err != nil {
+		return err
+	}
+	if err := n.serve("door", n.settings.Door, door); err != nil {
+		return err
+	}
+	n.tasks.Go(n.probe)
+	if n.settings.Platform != "" {
+		n.tasks.Go(n.watchList)
+	}
+	n.tasks.Go(n.keep)
+	n.log.Info("started", "peer", n.settings.Peer, "proxy", n.settings.Proxy, "door", n.settings.Door, "district", n.settings.District, "region", n.settings.Region, "disk", n.self.Disk, "restart", options.Restart)
+	return nil
+}
+
+func (n *Node) openJournal() (*journal.State, error) {
+	folder, err := journal.OpenFolder(n.settings.Data)
+	if err != nil {
+		return nil, err
+	}
+	n.Push("data folder", folder.Close)
+	j, state, err := journal.Open(folder, journal.DefaultOptions())
+	var corrupt *journal.CorruptError
+	if errors.As(err, &corrupt) {
+		n.log.Error("journal is corrupt; rejoining empty under a new identity", "reason", err.Error())
+		if err := folder.Wipe(); err != nil {
+			return nil, fmt.Errorf("wipe data folder: %w", err)
+		}
+		j, state, err = journal.Open(folder, journal.DefaultOptions())
+	}
+	if err != nil {
+		return nil, err
+	}
+	if state.Torn {
+		n.log.Warn("a torn tail of the journal was cut")
+	}
+	n.journal = j
+	return state, nil
+}
+
+func (n *Node) serve(name, address string, handler http.Handler) error {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return fmt.Errorf("listen on %s for %s: %w; free the address or change the setting", address, name, err)
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: 5 * time.Second, IdleTimeout: time.Minute, MaxHeaderBytes: 64 << 10,
+		ErrorLog: slog.NewLogLogger(n.log.With("part", name).Handler(), slog.LevelDebug)}
+	n.servers = append(n.servers, server)
+	n.tasks.Go(func() {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			n.log.Error("server ended", "part", name, "reason", err.Error())
+		}
+	})
+	n.Push(name, server.Close)
+	return nil
+}
+
+func (n *Node) proxyHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /identity", func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		json.NewEncoder(w).Encode(proxy.Identity{Service: "topazshed", Instance: n.self.Id})
+	})
+	mux.HandleFunc("GET /ready", func(w http.ResponseWriter, r *http.Request) {
+		local := n.local.Load()
+		if n.stopping.Load() || !proxy.IsFit(n.Now(), local) {
+			http.Error(w, "not ready", http.StatusServiceUnavailable)
+			return
+		}
+		fmt.Fprintln(w, "ready")
+	})
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodGet && (r.URL.Path == "/identity" || r.URL.Path == "/ready") {
+			mux.ServeHTTP(w, r)
+			return
+		}
+		n.executor.ServeHTTP(w, r)
+	})
+}
+
+func (n *Node) do(command func()) {
+	select {
+	case n.commands <- command:
+	case <-n.context.Done():
+	}
+}
+
+func (n *Node) want(service string) {
+	n.do(func() { n.core.Want(n.Now(), service) })
+}
+
+func (n *Node) own() {
+	ticker := time.NewTicker(constants.Tick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-n.context.Done():
+			return
+		case command := <-n.commands:
+			command()
+		case <-ticker.C:
+			n.core.Tick(n.Now())
+		}
+		for more := true; more; {
+			select {
+			case command := <-n.commands:
+				command()
+			default:
+				more = false
+			}
+		}
+		if err := n.perform(); err != nil {
+			n.log.Error("the disk failed; this process ends so that it can't say yes to what it hasn't kept", "reason", err.Error())
+			select {
+			case n.fatal <- err:
+			default:
+			}
+			n.cancel()
+			return
+		}
+	}
+}
+
+func (n *Node) perform() error {
+	for {
+		effects := n.core.Take()
+		if !effects.IsWork {
+			break
+		}
+		if n.journal != nil && (effects.Hard != nil || len(effects.Quorum.Items) > 0 || effects.Quorum.Image != nil) {
+			if err := n.sync(effects); err != nil {
+				return err
+			}
+		}
+		n.core.Synced(n.Now(), effects)
+		n.publish()
+		for _, s := range effects.Sends {
+			n.net.Send(s.To, s.Frame)
+		}
+		for _, o := range effects.Outcomes {
+			if answer, isThere := n.operates.LoadAndDelete(o.Ticket); isThere {
+				answer.(chan *schema.OperatorOutcome) <- o.Outcome
+			}
+		}
+	}
+	if n.core.Compactable() || n.journal != nil && n.journal.NeedsImage() {
+		whole := n.core.Whole()
+		if whole.Index > 0 {
+			if err := n.journal.PutImage(whole); err != nil {
+				return err
+			}
+			n.core.Compacted(whole.Index)
+		}
+	}
+	n.publish()
+	return nil
+}
+
+func (n *Node) sync(effects core.Effects) error {
+	begun := time.Now()
+	if effects.Quorum.Image != nil {
+		if err := n.journal.PutImage(effects.Quorum.Image); err != nil {
+			return err
+		}
+	}
+	err := n.journal.Append(effects.Hard, effects.Quorum.Items)
+	var full *journal.FullError
+	if errors.As(err, &full) {
+		if err := n.journal.PutImage(n.core.Whole()); err != nil {
+			return err
+		}
+		err = n.journal.Append(effects.Hard, effects.Quorum.Items)
+	}
+	took := time.Since(begun)
+	disk := *n.disk.Load()
+	disk.LastSyncMs, disk.WorstMs = took.Milliseconds(), max(disk.WorstMs, took.Milliseconds())
+	if err != nil {
+		disk.Fault = err.Error()
+	}
+	n.disk.Store(&disk)
+	if took > constants.SlowSync {
+		n.log.Warn("slow sync", "milliseconds", took.Milliseconds())
+		n.core.SlowDisk(n.Now())
+	}
+	return err
+}
+
+func (n *Node) publish() {
+	local := n.core.Local()
+	was := n.local.Load()
+	n.local.Store(local)
+	if was.View != local.View {
+		now := n.Now()
+		for name, service := range local.View.Services {
+			if was.View.Services[name] == service {
+				continue
+			}
+			known := map[string]bool{}
+			if before := was.View.Services[name]; before != nil {
+				for _, b := range before.Backends {
+					known[b.Instance] = true
+				}
+			}
+			for _, b := range service.Backends {
+				n.loads.See(now, b.Instance, len(known) == 0)
+				if b.State != schema.BackendState_BACKEND_READY {
+					n.pool.Forget(proxy.Identity{Service: b.Service, Instance: b.Instance})
+				}
+			}
+		}
+	}
+	if set := local.View.Keepers[n.self.Region]; set != nil {
+		n.keeper.Adopt(n.Now(), set)
+	}
+	number, isMember, isReady, _ := n.keeper.State()
+	n.core.SetKeeper(number, isMember && isReady)
+}
+
+func (n *Node) handle(f *schema.Frame) {
+	if f.Outcome {
+		if answer, isThere := n.calls.LoadAndDelete(f.Call); isThere {
+			answer.(chan *schema.Frame) <- f
+		}
+		return
+	}
+	local := n.local.Load()
+	switch body := f.Body.(type) {
+	case *schema.Frame_Claim:
+		if local.System != "" && f.System == local.System {
+			now := n.Now()
+			n.answer(f, &schema.Frame{Body: &schema.Frame_ClaimOutcome{ClaimOutcome: n.keeper.Take(now, body.Claim, now < local.GrantUntil)}})
+		}
+	case *schema.Frame_ClaimCopy:
+		if f.System == local.System {
+			n.answer(f, &schema.Frame{Body: &schema.Frame_ClaimCopyOutcome{ClaimCopyOutcome: n.keeper.Copy(n.Now(), body.ClaimCopy)}})
+		}
+	case nil:
+		n.log.Warn("frame without body ignored", "from", f.From)
+	default:
+		n.do(func() { n.core.Receive(n.Now(), f) })
+	}
+}
+
+func (n *Node) answer(to *schema.Frame, f *schema.Frame) {
+	f.Call, f.Outcome, f.System, f.From, f.Address = to.Call, true, n.local.Load().System, n.self.Id, n.self.Address
+	n.net.Send(to.Address, f)
+}
+
+// Call sends a frame and waits for its outcome; a call to this node itself is answered at once.
+func (n *Node) Call(ctx context.Context, address string, f *schema.Frame) (*schema.Frame, error) {
+	answer := make(chan *schema.Frame, 1)
+	f.Call = n.serial.Add(1)
+	f.System, f.From, f.Address = n.local.Load().System, n.self.Id, n.self.Address
+	n.calls.Store(f.Call, answer)
+	defer n.calls.Delete(f.Call)
+	if address == n.self.Address {
+		local := n.local.Load()
+		switch body := f.Body.(type) {
+		case *schema.Frame_Claim:
+			now := n.Now()
+			return &schema.Frame{Body: &schema.Frame_ClaimOutcome{ClaimOutcome: n.keeper.Take(now, body.Claim, now < local.GrantUntil)}}, nil
+		}
+	}
+	n.net.Send(address, f)
+	select {
+	case outcome := <-answer:
+		return outcome, nil
+	case <-ctx.Done():
+		return nil, fmt.Errorf("call to %s: %w", address, ctx.Err())
+	}
+}
+
+func (n *Node) operate(ctx context.Context, query *schema.OperatorQuery) (*schema.OperatorOutcome, error) {
+	answer := make(chan *schema.OperatorOutcome, 1)
+	ticket := n.serial.Add(1)
+	n.operates.Store(ticket, answer)
+	defer n.operates.Delete(ticket)
+	n.do(func() { n.core.Operate(n.Now(), ticket, proto.Clone(query).(*schema.OperatorQuery)) })
+	select {
+	case outcome := <-answer:
+		return outcome, nil
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+func (n *Node) keep() {
+	ticker := time.NewTicker(constants.ClaimCopyEvery / 4)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-n.context.Done():
+			return
+		case <-ticker.C:
+		}
+		members, query := n.keeper.Ask(n.Now())
+		for _, m := range members {
+			n.tasks.Go(func() {
+				ctx, cancel := context.WithTimeout(n.context, constants.ClaimWait)
+				defer cancel()
+				f, err := n.Call(ctx, m.Address, &schema.Frame{Body: &schema.Frame_ClaimCopy{ClaimCopy: query}})
+				if err == nil && f.GetClaimCopyOutcome() != nil {
+					n.keeper.Copied(n.Now(), m.Id, f.GetClaimCopyOutcome())
+				}
+			})
+		}
+	}
+}
+
+func (n *Node) probe() {
+	ticker := time.NewTicker(constants.VitalsEvery)
+	defer ticker.Stop()
+	var lock sync.Mutex
+	fails := map[string]int{}
+	for {
+		select {
+		case <-n.context.Done():
+			return
+		case <-ticker.C:
+		}
+		view := n.local.Load().View
+		var group sync.WaitGroup
+		listed := map[string]bool{}
+		for _, service := range view.Services {
+			if len(service.Entries) == 0 {
+				continue
+			}
+			for _, b := range service.Backends {
+				district := view.Districts[b.District]
+				if district == nil || district.Region != n.self.Region {
+					continue
+				}
+				listed[b.Instance] = true
+				group.Go(func() {
+					ctx, cancel := context.WithTimeout(n.context, constants.VitalsWait)
+					defer cancel()
+					conn, err := n.pool.Get(ctx, b.Address, proxy.Identity{Service: b.Service, Instance: b.Instance})
+					if err == nil {
+						err = conn.Prove(ctx)
+						if err == nil {
+							n.pool.Put(conn)
+						} else {
+							conn.Close()
+						}
+					}
+					lock.Lock()
+					defer lock.Unlock()
+					if err != nil {
+						fails[b.Instance]++
+					} else {
+						fails[b.Instance] = 0
+					}
+					n.loads.Report(b.Instance, err == nil)
+				})
+			}
+		}
+		group.Wait()
+		lock.Lock()
+		var vitals []*schema.Vital
+		for instance, count := range fails {
+			if !listed[instance] {
+				delete(fails, instance)
+				continue
+			}
+			vitals = append(vitals, &schema.Vital{Instance: instance, Failing: count >= constants.VitalsFails})
+		}
+		lock.Unlock()
+		slices.SortFunc(vitals, func(a, b *schema.Vital) int { return strings.Compare(a.Instance, b.Instance) })
+		n.do(func() { n.core.SetVitals(vitals) })
+	}
+}
+
+func (n *Node) watchList() {
+	client := &http.Client{Timeout: constants.RosterCall}
+	pause := constants.RosterEvery
+	for {
+		select {
+		case <-n.context.Done():
+			return
+		case <-time.After(pause):
+		}
+		pause = constants.RosterEvery
+		if n.local.Load().Role != "leader" {
+			continue
+		}
+		var pages []roster.Page
+		fault := ""
+		for page := 0; ; page++ {
+			got, retry, err := n.readPage(client, page)
+			if err != nil {
+				fault = err.Error()
+				pause = max(pause, retry)
+				break
+			}
+			pages = append(pages, got)
+			if page+1 >= got.Pages {
+				break
+			}
+		}
+		sweep := roster.Join(pages)
+		if fault != "" {
+			sweep.IsWhole, sweep.Reason = false, fault
+		}
+		n.do(func() { n.core.SetSweep(n.Now(), sweep) })
+	}
+}
+
+func (n *Node) readPage(client *http.Client, number int) (roster.Page, time.Duration, error) {
+	var page roster.Page
+	response, err := client.Get(fmt.Sprintf("%s?page=%d", n.settings.Platform, number))
+	if err != nil {
+		return page, 0, fmt.Errorf("read the platform's list: %w", err)
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		var retry time.Duration
+		if seconds, err := time.ParseDuration(response.Header.Get("Retry-After") + "s"); err == nil {
+			retry = min(seconds, 5*time.Second)
+		}
+		return page, retry, fmt.Errorf("read the platform's list: status %d", response.StatusCode)
+	}
+	text, err := io.ReadAll(io.LimitReader(response.Body, 4<<20))
+	if err != nil {
+		return page, 0, fmt.Errorf("read the platform's list: %w", err)
+	}
+	if err := json.Unmarshal(text, &page); err != nil {
+		return page, 0, fmt.Errorf("the platform's list is no JSON: %w", err)
+	}
+	if page.Page != number {
+		return page, 0, fmt.Errorf("the platform gave page %d for page %d", page.Page, number)
+	}
+	return page, 0, nil
+}
+
+// Wait blocks until the context ends or the disk fails, then stops the process without dropping a query.
+func (n *Node) Wait(ctx context.Context) error {
+	select {
+	case err := <-n.fatal:
+		return errors.Join(err, n.Close())
+	case <-ctx.Done():
+	}
+	n.stopping.Store(true)
+	n.log.Info("stopping; queries in flight are finished first")
+	n.do(func() { n.core.Stop(n.Now()) })
+	linger := time.NewTimer(constants.StopLinger)
+	defer linger.Stop()
+	select {
+	case <-linger.C:
+	case err := <-n.fatal:
+		return errors.Join(err, n.Close())
+	}
+	shutCtx, cancel := context.WithTimeout(context.Background(), constants.StopMost-constants.StopLinger)
+	defer cancel()
+	for _, server := range n.servers {
+		if err := server.Shutdown(shutCtx); err != nil {
+			n.log.Warn("queries were still in flight at the end", "reason", err.Error())
+		}
+	}
+	err := n.Close()
+	n.log.Info("stopped")
+	return err
+}
--- /dev/null
+++ b/internal/proxy/budget.go
@@ -0,0 +1,217 @@
+package proxy
+
+import (
+	"sync"
+	"time"
+
+	"topazshed/internal/constants"
+	"topazshed/internal/schema"
+)
+
+const shards = 16
+
+func shardOf(name string) int {
+	sum := uint32(2166136261)
+	for i := range len(name) {
+		sum = (sum ^ uint32(name[i])) * 16777619
+	}
+	return int(sum % shards)
+}
+
+type window struct {
+	firsts, repeats []time.Duration
+}
+
+type ramp struct {
+	seenAt time.Duration
+	begun  []time.Duration
+}
+
+type loadShard struct {
+	lock     sync.Mutex
+	inFlight map[string]int
+	bad      map[string]int
+	ramps    map[string]*ramp
+	windows  map[string]*window
+	keys     map[string]int
+	all      map[string]int
+}
+
+// Loads are the hot tables of a proxy: legs in flight, ramps, budgets and keys, in shards with a lock each.
+type Loads struct {
+	shards [shards]loadShard
+	now    func() time.Duration
+}
+
+// NewLoads makes empty tables.
+func NewLoads(now func() time.Duration) *Loads {
+	l := &Loads{now: now}
+	for i := range l.shards {
+		l.shards[i] = loadShard{inFlight: map[string]int{}, bad: map[string]int{}, ramps: map[string]*ramp{}, windows: map[string]*window{}, keys: map[string]int{}, all: map[string]int{}}
+	}
+	return l
+}
+
+func (l *Loads) in(name string) (*loadShard, func()) {
+	s := &l.shards[shardOf(name)]
+	s.lock.Lock()
+	return s, s.lock.Unlock
+}
+
+// InFlight is the count of legs that this proxy has at a back end.
+func (l *Loads) InFlight(instance string) int {
+	s, free := l.in(instance)
+	defer free()
+	return s.inFlight[instance]
+}
+
+// Begin counts a leg, End takes it off.
+func (l *Loads) Begin(instance string) {
+	s, free := l.in(instance)
+	defer free()
+	s.inFlight[instance]++
+}
+
+// End takes a leg off.
+func (l *Loads) End(instance string) {
+	s, free := l.in(instance)
+	defer free()
+	if s.inFlight[instance]--; s.inFlight[instance] <= 0 {
+		delete(s.inFlight, instance)
+	}
+}
+
+// Report takes a probe's or leg's result for a back end.
+func (l *Loads) Report(instance string, isGood bool) {
+	s, free := l.in(instance)
+	defer free()
+	if isGood {
+		delete(s.bad, instance)
+	} else {
+		s.bad[instance]++
+	}
+}
+
+// IsBad tells whether the last probes of a back end failed.
+func (l *Loads) IsBad(instance string) bool {
+	s, free := l.in(instance)
+	defer free()
+	return s.bad[instance] >= constants.VitalsFails
+}
+
+// See notes when a back end was first seen; those that were there from the start are warm.
+func (l *Loads) See(now time.Duration, instance string, isWarm bool) {
+	s, free := l.in(instance)
+	defer free()
+	if s.ramps[instance] == nil {
+		at := now
+		if isWarm {
+			at = now - constants.ColdRamp
+		}
+		s.ramps[instance] = &ramp{seenAt: at}
+	}
+}
+
+// MayBegin holds a cold back end to its share of a rising rate and counts the leg where it may begin.
+func (l *Loads) MayBegin(now time.Duration, backend *schema.Backend, sharers int, bearable uint32) bool {
+	s, free := l.in(backend.Instance)
+	defer free()
+	r := s.ramps[backend.Instance]
+	if r == nil {
+		r = &ramp{seenAt: now}
+		s.ramps[backend.Instance] = r
+	}
+	age := now - r.seenAt
+	if age >= constants.ColdRamp {
+		r.begun = nil
+		return true
+	}
+	for len(r.begun) > 0 && now-r.begun[0] >= time.Second {
+		r.begun = r.begun[1:]
+	}
+	rate := constants.ColdFirst + (float64(bearable)*2-constants.ColdFirst)*float64(age)/float64(constants.ColdRamp)
+	share := rate / float64(sharers)
+	if share < 1 {
+		if len(r.begun) > 0 || float64(now-r.lastOr(now-time.Hour)) < float64(time.Second)/share {
+			return false
+		}
+	} else if len(r.begun) >= int(share) {
+		return false
+	}
+	r.begun = append(r.begun, now)
+	return true
+}
+
+func (r *ramp) lastOr(otherwise time.Duration) time.Duration {
+	if len(r.begun) == 0 {
+		return otherwise
+	}
+	return r.begun[len(r.begun)-1]
+}
+
+func (w *window) trim(now time.Duration) {
+	for len(w.firsts) > 0 && now-w.firsts[0] >= constants.RepeatWindow {
+		w.firsts = w.firsts[1:]
+	}
+	for len(w.repeats) > 0 && now-w.repeats[0] >= constants.RepeatWindow {
+		w.repeats = w.repeats[1:]
+	}
+}
+
+// First counts a first leg of a service.
+func (l *Loads) First(now time.Duration, service string) {
+	s, free := l.in(service)
+	defer free()
+	w := s.windows[service]
+	if w == nil {
+		w = &window{}
+		s.windows[service] = w
+	}
+	w.trim(now)
+	w.firsts = append(w.firsts, now)
+}
+
+// Repeat tells whether one more leg fits the repeat budget, and counts it; sharers divide the allowance.
+func (l *Loads) Repeat(now time.Duration, service string, sharers int) bool {
+	s, free := l.in(service)
+	defer free()
+	w := s.windows[service]
+	if w == nil {
+		return false
+	}
+	w.trim(now)
+	if len(w.repeats)+1 > len(w.firsts)*constants.RepeatShare/100+constants.RepeatAllowance/max(1, sharers) {
+		return false
+	}
+	w.repeats = append(w.repeats, now)
+	return true
+}
+
+// KeyInFlight gives the legs in flight of one key and of its whole service.
+func (l *Loads) KeyInFlight(service, key string) (int, int) {
+	s, free := l.in(service)
+	defer free()
+	return s.keys[service+"\x00"+key], s.all[service]
+}
+
+// BeginKey counts a leg of a key; EndKey takes it off.
+func (l *Loads) BeginKey(service, key string) {
+	s, free := l.in(service)
+	defer free()
+	s.all[service]++
+	if key != "" {
+		s.keys[service+"\x00"+key]++
+	}
+}
+
+// EndKey takes a leg of a key off.
+func (l *Loads) EndKey(service, key string) {
+	s, free := l.in(service)
+	defer free()
+	s.all[service]--
+	if name := service + "\x00" + key; key != "" {
+		if s.keys[name]--; s.keys[name] <= 0 {
+			delete(s.keys, name)
+		}
+	}
+}
--- /dev/null
+++ b/internal/proxy/decider.go
@@ -0,0 +1,287 @@
+package proxy
+
+import (
+	"errors"
+	"hash/fnv"
+	"net/http"
+	"slices"
+	"time"
+
+	"topazshed/internal/constants"
+	"topazshed/internal/core"
+	"topazshed/internal/image"
+	"topazshed/internal/schema"
+	"topazshed/internal/standing"
+)
+
+// Turn is what the executor must do next.
+type Turn int
+
+// The turns of a query.
+const (
+	TurnDecline Turn = iota
+	TurnPark
+	TurnForward
+	TurnClaim
+	TurnLeg
+)
+
+// Decision is the decider's answer.
+type Decision struct {
+	Turn    Turn
+	Decline *DeclineError
+	Wanted  string
+	Entry   *schema.Entry
+	Owner   standing.Owner
+	Nodes   []*schema.Node
+	Keepers *schema.Keepers
+	Backend *schema.Backend
+	Slot    uint32
+	SlotNo  uint64
+	IsSafe  bool
+	Version uint64
+}
+
+// Load is what this proxy itself knows of back ends.
+type Load interface {
+	InFlight(instance string) int
+	IsBad(instance string) bool
+	MayBegin(now time.Duration, backend *schema.Backend, sharers int, bearable uint32) bool
+	KeyInFlight(service, key string) (ofKey, ofAll int)
+}
+
+// Situation is all that a decision rests on.
+type Situation struct {
+	Now       time.Duration
+	Local     *core.Local
+	Self      *schema.Node
+	Query     *Query
+	Load      Load
+	Tried     map[string]bool
+	IsClaimed bool
+	Parked    time.Duration
+	Left      time.Duration
+	Draw      func(int64) int64
+}
+
+// IsFit tells whether a node's state is fresh enough to serve on.
+func IsFit(now time.Duration, local *core.Local) bool {
+	if local == nil || now-local.TickAt > time.Second || local.ThawedAt > 0 && local.FreshAt <= local.ThawedAt {
+		return false
+	}
+	if local.View.Version == 0 {
+		return false
+	}
+	return now-local.FreshAt < constants.IsolatedAfter || now-local.PeersAt < constants.IsolatedAfter
+}
+
+// Entry finds the entry of a path, or says what the executor must do instead.
+func Entry(now time.Duration, local *core.Local, service, path string, parked time.Duration) (*schema.Entry, *Decision) {
+	park := func(kind, message, wanted string) *Decision {
+		if parked >= constants.ParkMost {
+			return &Decision{Turn: TurnDecline, Decline: declineLater(kind, "%s", message)}
+		}
+		return &Decision{Turn: TurnPark, Wanted: wanted}
+	}
+	if !IsFit(now, local) {
+		return nil, park("unready", "this proxy has no fresh state; ask the directory for another", "")
+	}
+	if !local.IsFull && !local.Held[image.ServicePrefix(service)] {
+		return nil, park("unready", "the service's state is not here yet; send again", service)
+	}
+	known := local.View.Services[service]
+	if known == nil {
+		return nil, &Decision{Turn: TurnDecline, Decline: decline(http.StatusNotFound, "unknown-entry", "no entry for service %q; mend the path or put a configuration", service)}
+	}
+	entry := known.Entry(path)
+	if entry == nil {
+		return nil, &Decision{Turn: TurnDecline, Decline: decline(http.StatusNotFound, "unknown-entry", "no entry of service %q covers path %q; mend the path or put a configuration", service, path)}
+	}
+	return entry, nil
+}
+
+// Decide is asked at each turn of a query.
+func Decide(s Situation) Decision {
+	d, isOwn := Check(s)
+	if !isOwn {
+		return d
+	}
+	return match(s, d)
+}
+
+// Check tells whether this proxy may begin a leg of the query now, or else what is to be done.
+func Check(s Situation) (Decision, bool) {
+	q := s.Query
+	entry, early := Entry(s.Now, s.Local, q.Service, q.Path, s.Parked)
+	if early != nil {
+		return *early, false
+	}
+	d := Decision{Entry: entry, IsSafe: slices.Contains(entry.SafeMethods, q.Method), Version: s.Local.View.Version}
+	refuse := func(e *DeclineError) (Decision, bool) {
+		d.Turn, d.Decline = TurnDecline, e
+		return d, false
+	}
+	park := func(kind, form string, args ...any) (Decision, bool) { return s.park(d, kind, form, args...), false }
+	if !slices.Contains(entry.Methods, q.Method) {
+		return refuse(decline(http.StatusMethodNotAllowed, "bad-method", "entry %s%s allows %v; use one of them or change the configuration", entry.Service, entry.Path, entry.Methods))
+	}
+	if entry.Keyed && q.Key == "" {
+		return refuse(decline(http.StatusBadRequest, "no-key", "entry %s%s is divided by key; send %s", entry.Service, entry.Path, HeaderKey))
+	}
+	if s.Left <= 0 {
+		return refuse(declineLater("late", "the wait is over"))
+	}
+	view := s.Local.View
+	owner, err := standing.Resolve(view, entry, q.Origin)
+	if err != nil {
+		var misfit *standing.OriginError
+		if errors.As(err, &misfit) {
+			return refuse(decline(http.StatusBadRequest, "bad-origin", "%v", err))
+		}
+		return park("no-standing", "%v", err)
+	}
+	d.Owner = owner
+	if owner.District != s.Self.District {
+		if q.Forwarded > 0 {
+			return park("moved", "number %d makes district %s the owner; ask the directory again", owner.Number, owner.District)
+		}
+		for _, node := range view.Nodes {
+			if node.District == owner.District && node.State == schema.NodeState_NODE_READY {
+				d.Nodes = append(d.Nodes, node)
+			}
+		}
+		if len(d.Nodes) == 0 {
+			return park("no-proxy", "district %s has no ready proxy; ask the directory again", owner.District)
+		}
+		slices.SortFunc(d.Nodes, func(a, b *schema.Node) int { return compare(a.Id, b.Id) })
+		d.Turn = TurnForward
+		return d, false
+	}
+	if q.Forwarded > owner.Number {
+		return park("behind", "this proxy has not seen number %d yet; send again", q.Forwarded)
+	}
+	if district := view.Districts[s.Self.District]; district == nil || district.Emptied {
+		return park("emptied", "district %s is emptied; ask the directory again", s.Self.District)
+	}
+	needsGrant := !d.IsSafe || entry.Keyed
+	if needsGrant {
+		if owner.Fenced {
+			return park("fenced", "number %d waits for the former group's grants to lapse; send again", owner.Number)
+		}
+		if s.Now >= s.Local.GrantUntil {
+			return park("no-grant", "this proxy holds no grant for unsafe queries now; send again")
+		}
+	}
+	if !d.IsSafe {
+		if set := view.Keepers[owner.Region]; set == nil {
+			return park("no-keepers", "region %s has no keepers yet; send again", owner.Region)
+		} else if !s.IsClaimed {
+			d.Keepers, d.Turn = set, TurnClaim
+			return d, false
+		}
+	}
+	return d, true
+}
+
+func (s Situation) park(d Decision, kind, form string, args ...any) Decision {
+	if s.Parked >= constants.ParkMost || s.Left <= 0 {
+		d.Turn, d.Decline = TurnDecline, declineLater(kind, form, args...)
+		return d
+	}
+	d.Turn = TurnPark
+	return d
+}
+
+func match(s Situation, d Decision) Decision {
+	q, entry, owner, view := s.Query, d.Entry, d.Owner, s.Local.View
+	park := func(kind, form string, args ...any) Decision { return s.park(d, kind, form, args...) }
+	service := view.Services[entry.Service]
+	if q.Key != "" {
+		if ofKey, ofAll := s.Load.KeyInFlight(entry.Service, q.Key); ofKey >= 2 && ofKey*100 >= max(ofAll, 6)*constants.KeyShare {
+			return park("hot-key", "one key holds too many legs in flight; send again")
+		}
+	}
+	if entry.Keyed {
+		d.Slot = Slot(q.Key)
+		slot := service.Slots[d.Slot]
+		if slot == nil || slot.Next != "" {
+			return park("key-moving", "the key's back end is being replaced; send again")
+		}
+		d.SlotNo = slot.Number
+		for _, backend := range service.Backends {
+			if backend.Instance == slot.Instance && usable(view, backend, owner.Region) && s.Load.InFlight(backend.Instance) < int(entry.Bearable) && !s.Tried[backend.Instance] {
+				d.Backend, d.Turn = backend, TurnLeg
+				return d
+			}
+		}
+		return park("key-busy", "the key's back end is busy or gone; send again")
+	}
+	sharers := 0
+	for _, node := range view.Nodes {
+		if node.Region == owner.Region && node.State == schema.NodeState_NODE_READY {
+			sharers++
+		}
+	}
+	isTried := false
+	choose := func(isNear bool) *schema.Backend {
+		var options []*schema.Backend
+		for _, backend := range service.Backends {
+			if !usable(view, backend, owner.Region) || (backend.District == s.Self.District) != isNear {
+				continue
+			}
+			if s.Tried[backend.Instance] {
+				isTried = true
+				continue
+			}
+			if s.Load.IsBad(backend.Instance) || s.Load.InFlight(backend.Instance) >= max(2, int(entry.Bearable)/2) {
+				continue
+			}
+			options = append(options, backend)
+		}
+		for len(options) > 0 {
+			i := int(s.Draw(int64(len(options))))
+			j := int(s.Draw(int64(len(options))))
+			if s.Load.InFlight(options[j].Instance) < s.Load.InFlight(options[i].Instance) {
+				i = j
+			}
+			if s.Load.MayBegin(s.Now, options[i], max(1, sharers), entry.Bearable) {
+				return options[i]
+			}
+			options = slices.Delete(options, i, i+1)
+		}
+		return nil
+	}
+	for _, isNear := range []bool{true, false} {
+		if backend := choose(isNear); backend != nil {
+			d.Backend, d.Turn = backend, TurnLeg
+			return d
+		}
+	}
+	if isTried {
+		d.Turn, d.Decline = TurnDecline, declineLater("no-backend", "no other back end of %s is free; send again", entry.Service)
+		return d
+	}
+	return park("no-backend", "no back end of %s in region %s is free; send again", entry.Service, owner.Region)
+}
+
+func usable(view *image.View, backend *schema.Backend, region string) bool {
+	district := view.Districts[backend.District]
+	return district != nil && district.Region == region && !district.Emptied && backend.State == schema.BackendState_BACKEND_READY && !backend.Failing
+}
+
+// Slot is the slot of a key.
+func Slot(key string) uint32 {
+	sum := fnv.New32a()
+	sum.Write([]byte(key))
+	return sum.Sum32() % constants.KeySlots
+}
+
+func compare(a, b string) int {
+	switch {
+	case a < b:
+		return -1
+	case a > b:
+		return 1
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/proxy/query.go
@@ -0,0 +1,144 @@
+// Package proxy carries queries to back ends: a decider is asked, an executor obeys.
+package proxy
+
+import (
+	"crypto/sha256"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"regexp"
+	"strconv"
+	"strings"
+	"time"
+
+	"topazshed/internal/constants"
+	"topazshed/internal/standing"
+)
+
+// The headers of queries, legs and outcomes.
+const (
+	HeaderAttempt   = "Topazshed-Attempt"
+	HeaderWait      = "Topazshed-Wait"
+	HeaderOrigin    = "Topazshed-Origin"
+	HeaderKey       = "Topazshed-Key"
+	HeaderForwarded = "Topazshed-Forwarded"
+	HeaderOutcome   = "Topazshed-Outcome"
+	HeaderService   = "Topazshed-Service"
+	HeaderInstance  = "Topazshed-Instance"
+	HeaderNumber    = "Topazshed-Number"
+	HeaderSlot      = "Topazshed-Slot"
+	HeaderDigest    = "Content-Digest"
+	HeaderProxy     = "Topazshed-Proxy"
+)
+
+// The kinds of outcome that a caller is told.
+const (
+	OutcomeSealed   = "sealed"
+	OutcomeDeclined = "declined"
+	OutcomeDoubtful = "doubtful"
+)
+
+// Query is a caller's request as it was read.
+type Query struct {
+	Service   string
+	Path      string
+	RawQuery  string
+	Method    string
+	Attempt   string
+	Wait      time.Duration
+	Origin    standing.Origin
+	OriginRaw string
+	Key       string
+	Forwarded uint64
+	Header    http.Header
+	Body      []byte
+	Digest    []byte
+}
+
+// DeclineError is a final outcome that is not the back end's: declined surely did not run, doubtful may have run.
+type DeclineError struct {
+	Status     int
+	Kind       string
+	Message    string
+	Outcome    string
+	RetryAfter time.Duration
+}
+
+func (e *DeclineError) Error() string { return e.Kind + ": " + e.Message }
+
+type errorBody struct {
+	Kind    string `json:"kind"`
+	Message string `json:"message"`
+	Outcome string `json:"outcome"`
+}
+
+// Write gives the outcome to the caller.
+func (e *DeclineError) Write(w http.ResponseWriter) {
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set(HeaderOutcome, e.Outcome)
+	if e.RetryAfter > 0 {
+		w.Header().Set("Retry-After", strconv.Itoa(max(1, int((e.RetryAfter+time.Second-1)/time.Second))))
+	}
+	w.WriteHeader(e.Status)
+	json.NewEncoder(w).Encode(errorBody{e.Kind, e.Message, e.Outcome})
+}
+
+func decline(status int, kind, form string, args ...any) *DeclineError {
+	return &DeclineError{Status: status, Kind: kind, Message: fmt.Sprintf(form, args...), Outcome: OutcomeDeclined}
+}
+
+func declineLater(kind, form string, args ...any) *DeclineError {
+	e := decline(http.StatusServiceUnavailable, kind, form, args...)
+	e.RetryAfter = constants.RetryAfter
+	return e
+}
+
+var attemptForm = regexp.MustCompile(`^[A-Za-z0-9_.:-]{8,64}$`)
+
+// ReadQuery reads what does not need the entry; the body follows once the entry is known.
+func ReadQuery(r *http.Request) (*Query, *DeclineError) {
+	q := &Query{Method: r.Method, RawQuery: r.URL.RawQuery, Header: r.Header}
+	service, path, _ := strings.Cut(strings.TrimPrefix(r.URL.EscapedPath(), "/"), "/")
+	q.Service, q.Path = service, "/"+path
+	if service == "" {
+		return nil, decline(http.StatusNotFound, "no-service", "the path names no service; use /SERVICE/PATH")
+	}
+	if strings.Contains(q.Path, "//") || strings.Contains(q.Path, "/.") || strings.Contains(strings.ToLower(q.Path), "%2e") || strings.Contains(strings.ToLower(q.Path), "%2f") {
+		return nil, decline(http.StatusBadRequest, "bad-path", "the path has empty or dotted parts; send it in its plain form")
+	}
+	q.Attempt = r.Header.Get(HeaderAttempt)
+	if !attemptForm.MatchString(q.Attempt) || len(r.Header.Values(HeaderAttempt)) != 1 {
+		return nil, decline(http.StatusBadRequest, "bad-attempt", "send one %s of 8 to 64 letters, digits or _ . : -", HeaderAttempt)
+	}
+	wait, err := strconv.Atoi(r.Header.Get(HeaderWait))
+	if err != nil || wait < 1 || time.Duration(wait)*time.Millisecond > constants.WaitMost {
+		return nil, decline(http.StatusBadRequest, "bad-wait", "send %s in milliseconds, from 1 to %d", HeaderWait, constants.WaitMost.Milliseconds())
+	}
+	q.Wait = time.Duration(wait) * time.Millisecond
+	q.OriginRaw = r.Header.Get(HeaderOrigin)
+	q.Origin, err = standing.ParseOrigin(q.OriginRaw)
+	if err != nil {
+		return nil, decline(http.StatusBadRequest, "bad-origin", "%v", err)
+	}
+	q.Key = r.Header.Get(HeaderKey)
+	if len(q.Key) > 200 {
+		return nil, decline(http.StatusBadRequest, "bad-key", "%s has more than 200 bytes; send a shorter key", HeaderKey)
+	}
+	if text := r.Header.Get(HeaderForwarded); text != "" {
+		q.Forwarded, err = strconv.ParseUint(text, 10, 64)
+		if err != nil || q.Forwarded == 0 {
+			return nil, decline(http.StatusBadRequest, "bad-forward", "%s is for proxies only; leave it out", HeaderForwarded)
+		}
+	}
+	return q, nil
+}
+
+// Seal fixes the digest of the query, which a claim is bound to.
+func (q *Query) Seal() {
+	sum := sha256.New()
+	for _, part := range []string{q.Method, q.Service, q.Path, q.RawQuery, q.Key} {
+		fmt.Fprintf(sum, "%d:%s", len(part), part)
+	}
+	sum.Write(q.Body)
+	q.Digest = sum.Sum(nil)[:16]
+}
--- /dev/null
+++ b/internal/quorum/quorum.go
@@ -0,0 +1,725 @@
+// Package quorum is the agreement of the disk machines: one leader, one log, as a machine without I/O.
+package quorum
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"topazshed/internal/constants"
+	"topazshed/internal/schema"
+)
+
+// Role is what a member does in its term.
+type Role int
+
+// The roles of a member.
+const (
+	Follower Role = iota
+	Candidate
+	Leader
+)
+
+func (r Role) String() string { return [...]string{"follower", "candidate", "leader"}[r] }
+
+// Options make a Quorum; Draw gives a number below its argument from the seeded source.
+type Options struct {
+	ID    string
+	Hard  *schema.HardState
+	Image *schema.Image
+	Items []*schema.LogItem
+	Draw  func(int64) int64
+	Whole func() *schema.Image
+}
+
+// Ready is what the shell must do, in this order: sync, send, apply.
+type Ready struct {
+	Hard      *schema.HardState
+	Items     []*schema.LogItem
+	Image     *schema.Image
+	Messages  []*schema.Raft
+	Committed []*schema.LogItem
+	Reads     []uint64
+	LostReads []uint64
+}
+
+type progress struct {
+	match, next uint64
+	ackRound    uint64
+	heard       time.Duration
+	imageAt     time.Duration
+	isProbing   bool
+}
+
+type read struct {
+	ticket, round, index uint64
+}
+
+// Quorum is one member's machine.
+type Quorum struct {
+	options   Options
+	id        string
+	term      uint64
+	vote      string
+	synced    *schema.HardState
+	role      Role
+	leader    string
+	first     uint64
+	firstTerm uint64
+	base      *schema.Members
+	items     []*schema.LogItem
+	unsynced  uint64
+	commit    uint64
+	handed    uint64
+	image     *schema.Image
+	votes     map[string]bool
+	isPre     bool
+	others    map[string]*progress
+	deadline  time.Duration
+	heard     time.Duration
+	beatAt    time.Duration
+	round     uint64
+	sentAt    map[uint64]time.Duration
+	reads     []read
+	ready     Ready
+	now       time.Duration
+	electedAt time.Duration
+	passing   string
+	passingAt time.Duration
+}
+
+// New restores a member from what its journal held.
+func New(now time.Duration, options Options) *Quorum {
+	q := &Quorum{options: options, id: options.ID, base: &schema.Members{}, others: map[string]*progress{}, sentAt: map[uint64]time.Duration{}, now: now}
+	if options.Hard != nil {
+		q.term, q.vote = options.Hard.Term, options.Hard.Vote
+	}
+	q.synced = q.hard()
+	if options.Image != nil {
+		q.first, q.firstTerm = options.Image.Index, options.Image.Term
+		q.base = options.Image.Members
+		q.commit, q.handed = q.first, q.first
+	}
+	q.items = options.Items
+	q.unsynced = q.last() + 1
+	q.reset(now)
+	return q
+}
+
+// Found makes the first member the only voter of a new system.
+func (q *Quorum) Found(now time.Duration, record *schema.Record) {
+	q.now = now
+	q.term, q.vote = 1, q.id
+	q.append(record)
+	q.become(Leader)
+}
+
+func (q *Quorum) hard() *schema.HardState { return &schema.HardState{Term: q.term, Vote: q.vote} }
+
+func (q *Quorum) reset(now time.Duration) {
+	q.deadline = now + constants.RaftElectionLeast + time.Duration(q.options.Draw(int64(constants.RaftElectionSpread)))
+}
+
+func (q *Quorum) last() uint64 { return q.first + uint64(len(q.items)) }
+
+func (q *Quorum) termAt(index uint64) (uint64, bool) {
+	switch {
+	case index == q.first:
+		return q.firstTerm, true
+	case index < q.first || index > q.last():
+		return 0, false
+	}
+	return q.items[index-q.first-1].Term, true
+}
+
+// Members are the newest in the log, committed or not.
+func (q *Quorum) Members() *schema.Members {
+	members, _ := q.membersAt()
+	return members
+}
+
+func (q *Quorum) membersAt() (*schema.Members, uint64) {
+	for i := len(q.items) - 1; i >= 0; i-- {
+		if q.items[i].Record.Kind == schema.RecordKind_RECORD_MEMBERS {
+			return q.items[i].Record.Members, q.items[i].Index
+		}
+	}
+	return q.base, q.first
+}
+
+// IsVoter tells whether an id may vote.
+func (q *Quorum) IsVoter(id string) bool { return holds(q.Members().Voters, id) }
+
+func holds(members []*schema.Member, id string) bool {
+	return slices.ContainsFunc(members, func(m *schema.Member) bool { return m.Id == id })
+}
+
+// Role, leader, term and progress of this member.
+func (q *Quorum) Role() Role       { return q.role }
+func (q *Quorum) LeaderID() string { return q.leader }
+func (q *Quorum) Term() uint64     { return q.term }
+func (q *Quorum) Commit() uint64   { return q.commit }
+func (q *Quorum) Last() uint64     { return q.last() }
+
+// First is the index of the image below the log in memory.
+func (q *Quorum) First() uint64 { return q.first }
+
+// ElectedAt is when this leader was elected.
+func (q *Quorum) ElectedAt() time.Duration { return q.electedAt }
+
+// Heard is when a member last answered this leader.
+func (q *Quorum) Heard(id string) time.Duration {
+	if p := q.others[id]; p != nil {
+		return p.heard
+	}
+	return 0
+}
+
+// Match is how far a member's disk is known to be.
+func (q *Quorum) Match(id string) uint64 {
+	if p := q.others[id]; p != nil {
+		return p.match
+	}
+	return 0
+}
+
+// Settled tells whether this leader has committed an item of its own term.
+func (q *Quorum) Settled() bool {
+	term, _ := q.termAt(q.commit)
+	return q.role == Leader && term == q.term
+}
+
+// Contact is the latest instant at which a majority certainly still followed this leader.
+func (q *Quorum) Contact() time.Duration {
+	if q.role != Leader {
+		return 0
+	}
+	if round := q.majority(func(p *progress) uint64 { return p.ackRound }, q.round); round > 0 {
+		if at, isKnown := q.sentAt[round]; isKnown {
+			return at
+		}
+		if round == q.round {
+			return q.now
+		}
+	}
+	return 0
+}
+
+func (q *Quorum) majority(measure func(*progress) uint64, own uint64) uint64 {
+	var values []uint64
+	for _, m := range q.Members().Voters {
+		if m.Id == q.id {
+			values = append(values, own)
+		} else if p := q.others[m.Id]; p != nil {
+			values = append(values, measure(p))
+		} else {
+			values = append(values, 0)
+		}
+	}
+	if len(values) == 0 {
+		return 0
+	}
+	slices.Sort(values)
+	return values[(len(values)-1)/2]
+}
+
+func (q *Quorum) send(m *schema.Raft) {
+	m.From, m.Term = q.id, max(m.Term, q.term)
+	q.ready.Messages = append(q.ready.Messages, m)
+}
+
+func (q *Quorum) peers() []*schema.Member {
+	members := q.Members()
+	var peers []*schema.Member
+	for _, m := range slices.Concat(members.Voters, members.Learners) {
+		if m.Id != q.id {
+			peers = append(peers, m)
+		}
+	}
+	return peers
+}
+
+func (q *Quorum) become(role Role) {
+	if q.role == Leader && role != Leader {
+		for _, r := range q.reads {
+			q.ready.LostReads = append(q.ready.LostReads, r.ticket)
+		}
+		q.reads = nil
+	}
+	q.role = role
+	q.votes = nil
+	q.passing = ""
+	q.reset(q.now)
+	if role == Leader {
+		q.leader = q.id
+		q.electedAt = q.now
+		q.others = map[string]*progress{}
+		q.sentAt = map[uint64]time.Duration{}
+		q.append(&schema.Record{Kind: schema.RecordKind_RECORD_NOTHING})
+		q.broadcast()
+		q.advance()
+	}
+}
+
+func (q *Quorum) step(term uint64, leader string) {
+	if term > q.term {
+		q.term, q.vote = term, ""
+	}
+	q.become(Follower)
+	q.leader = leader
+}
+
+func (q *Quorum) append(record *schema.Record) uint64 {
+	item := &schema.LogItem{Index: q.last() + 1, Term: q.term, Record: record}
+	q.items = append(q.items, item)
+	q.unsynced = min(q.unsynced, item.Index)
+	return item.Index
+}
+
+// NotLeaderError says that another node must be asked.
+type NotLeaderError struct{ Leader string }
+
+func (e *NotLeaderError) Error() string {
+	return fmt.Sprintf("this node does not lead; ask %q or try again shortly", e.Leader)
+}
+
+// PendingError says that a change of members is still under way.
+type PendingError struct{}
+
+func (e *PendingError) Error() string {
+	return "a change of members is not committed yet; try again after it"
+}
+
+// Propose appends a record at the leader and tells its index and term.
+func (q *Quorum) Propose(now time.Duration, record *schema.Record) (uint64, uint64, error) {
+	q.now = now
+	if q.role != Leader || q.passing != "" {
+		return 0, 0, &NotLeaderError{q.leader}
+	}
+	if record.Kind == schema.RecordKind_RECORD_MEMBERS {
+		if _, at := q.membersAt(); at > q.commit || !q.Settled() {
+			return 0, 0, &PendingError{}
+		}
+	}
+	index := q.append(record)
+	q.broadcast()
+	q.advance()
+	return index, q.term, nil
+}
+
+// Read asks for a moment at which this leader's state is certainly the newest.
+func (q *Quorum) Read(now time.Duration, ticket uint64) error {
+	q.now = now
+	if !q.Settled() {
+		return &NotLeaderError{q.leader}
+	}
+	q.broadcast()
+	q.reads = append(q.reads, read{ticket, q.round, q.commit})
+	q.confirm()
+	return nil
+}
+
+// Handover asks the best follower to lead instead.
+func (q *Quorum) Handover(now time.Duration) bool {
+	q.now = now
+	if q.role != Leader || q.passing != "" {
+		return q.passing != ""
+	}
+	best := ""
+	for _, m := range q.Members().Voters {
+		if p := q.others[m.Id]; m.Id != q.id && p != nil && p.match >= q.commit && now-p.heard < constants.RaftElectionLeast &&
+			(best == "" || p.match > q.others[best].match) {
+			best = m.Id
+		}
+	}
+	if best == "" {
+		return false
+	}
+	q.passing, q.passingAt = best, now
+	q.send(&schema.Raft{Kind: schema.RaftKind_RAFT_TIMEOUT_NOW, To: best})
+	return true
+}
+
+// Tick tells the machine the time.
+func (q *Quorum) Tick(now time.Duration) {
+	q.now = now
+	if q.role == Leader {
+		if now-q.beatAt >= constants.RaftHeartbeat {
+			q.broadcast()
+		}
+		if q.passing != "" && now-q.passingAt > constants.RaftElectionLeast {
+			q.passing = ""
+		}
+		heard := 0
+		for _, m := range q.Members().Voters {
+			if p := q.others[m.Id]; m.Id == q.id || p != nil && now-max(p.heard, q.electedAt) < 2*constants.RaftElectionLeast {
+				heard++
+			}
+		}
+		if heard <= len(q.Members().Voters)/2 {
+			q.step(q.term, "")
+		}
+		return
+	}
+	if now >= q.deadline {
+		if !q.IsVoter(q.id) {
+			q.leader = ""
+			q.reset(now)
+			return
+		}
+		q.campaign(true, false)
+	}
+}
+
+func (q *Quorum) campaign(isPre, isHandover bool) {
+	q.leader = ""
+	q.become(Candidate)
+	q.isPre = isPre
+	q.votes = map[string]bool{q.id: true}
+	term := q.term + 1
+	kind := schema.RaftKind_RAFT_PREVOTE
+	if !isPre {
+		q.term, q.vote = term, q.id
+		kind = schema.RaftKind_RAFT_VOTE
+	}
+	logTerm, _ := q.termAt(q.last())
+	for _, m := range q.Members().Voters {
+		if m.Id != q.id {
+			q.send(&schema.Raft{Kind: kind, To: m.Id, Term: term, Index: q.last(), LogTerm: logTerm, Handover: isHandover})
+		}
+	}
+	q.count()
+}
+
+func (q *Quorum) count() {
+	yes := 0
+	voters := q.Members().Voters
+	for _, m := range voters {
+		if q.votes[m.Id] {
+			yes++
+		}
+	}
+	if yes <= len(voters)/2 {
+		return
+	}
+	if q.isPre {
+		q.campaign(false, false)
+		return
+	}
+	q.become(Leader)
+}
+
+func (q *Quorum) broadcast() {
+	q.round++
+	q.beatAt = q.now
+	q.sentAt[q.round] = q.now
+	delete(q.sentAt, q.round-512)
+	for _, m := range q.peers() {
+		q.replicate(m.Id)
+	}
+}
+
+func (q *Quorum) replicate(id string) {
+	p := q.others[id]
+	if p == nil {
+		p = &progress{next: q.last() + 1, heard: q.now, isProbing: true}
+		q.others[id] = p
+	}
+	if p.next <= q.first {
+		if q.now-p.imageAt < constants.RaftElectionLeast && p.imageAt > 0 {
+			q.send(&schema.Raft{Kind: schema.RaftKind_RAFT_APPEND, To: id, Round: q.round})
+			return
+		}
+		p.imageAt = q.now
+		q.send(&schema.Raft{Kind: schema.RaftKind_RAFT_IMAGE, To: id, Image: q.options.Whole(), Round: q.round, Commit: q.commit})
+		return
+	}
+	prev := p.next - 1
+	prevTerm, _ := q.termAt(prev)
+	m := &schema.Raft{Kind: schema.RaftKind_RAFT_APPEND, To: id, Index: prev, LogTerm: prevTerm, Commit: q.commit, Round: q.round}
+	bytes := 0
+	for _, item := range q.items[p.next-q.first-1:] {
+		if len(m.Items) >= constants.RaftBatchItems || bytes > constants.RaftBatchBytes {
+			break
+		}
+		m.Items = append(m.Items, item)
+		bytes += proto.Size(item)
+		if p.isProbing {
+			break
+		}
+	}
+	if !p.isProbing {
+		p.next += uint64(len(m.Items))
+	}
+	q.send(m)
+}
+
+func (q *Quorum) advance() {
+	if q.role != Leader {
+		return
+	}
+	commit := q.majority(func(p *progress) uint64 { return p.match }, q.unsynced-1)
+	if term, isThere := q.termAt(commit); isThere && commit > q.commit && term == q.term {
+		q.commit = commit
+		q.broadcast()
+	}
+	if !q.IsVoter(q.id) {
+		if _, at := q.membersAt(); at <= q.commit {
+			q.step(q.term, "")
+		}
+	}
+}
+
+func (q *Quorum) confirm() {
+	round := q.majority(func(p *progress) uint64 { return p.ackRound }, q.round)
+	rest := q.reads[:0]
+	for _, r := range q.reads {
+		if r.round <= round && q.handed >= r.index {
+			q.ready.Reads = append(q.ready.Reads, r.ticket)
+		} else {
+			rest = append(rest, r)
+		}
+	}
+	q.reads = rest
+}
+
+// Receive takes a message from another member.
+func (q *Quorum) Receive(now time.Duration, m *schema.Raft) {
+	q.now = now
+	if m.To != q.id {
+		return
+	}
+	isLive := q.leader != "" && now-q.heard < constants.RaftElectionLeast
+	switch m.Kind {
+	case schema.RaftKind_RAFT_PREVOTE:
+		isFit := m.Term > q.term && !isLive && q.role != Leader && q.isNewEnough(m)
+		q.send(&schema.Raft{Kind: schema.RaftKind_RAFT_PREVOTE_OUTCOME, To: m.From, Declined: !isFit})
+		return
+	case schema.RaftKind_RAFT_PREVOTE_OUTCOME:
+		if m.Term > q.term {
+			q.step(m.Term, "")
+		} else if q.role == Candidate && q.isPre && !m.Declined {
+			q.votes[m.From] = true
+			q.count()
+		}
+		return
+	case schema.RaftKind_RAFT_VOTE:
+		if !m.Handover && (isLive || q.role == Leader) {
+			return
+		}
+	}
+	if m.Term < q.term {
+		if m.Kind == schema.RaftKind_RAFT_APPEND || m.Kind == schema.RaftKind_RAFT_IMAGE {
+			q.send(&schema.Raft{Kind: schema.RaftKind_RAFT_APPEND_OUTCOME, To: m.From, Declined: true})
+		}
+		return
+	}
+	if m.Term > q.term {
+		q.step(m.Term, "")
+	}
+	switch m.Kind {
+	case schema.RaftKind_RAFT_VOTE:
+		isFit := (q.vote == "" || q.vote == m.From) && q.role == Follower && q.isNewEnough(m)
+		if isFit {
+			q.vote = m.From
+			q.reset(now)
+		}
+		q.send(&schema.Raft{Kind: schema.RaftKind_RAFT_VOTE_OUTCOME, To: m.From, Declined: !isFit})
+	case schema.RaftKind_RAFT_VOTE_OUTCOME:
+		if q.role == Candidate && !q.isPre && !m.Declined {
+			q.votes[m.From] = true
+			q.count()
+		}
+	case schema.RaftKind_RAFT_APPEND:
+		q.follow(m)
+		q.accept(m)
+	case schema.RaftKind_RAFT_IMAGE:
+		q.follow(m)
+		q.install(m)
+	case schema.RaftKind_RAFT_APPEND_OUTCOME:
+		q.acknowledge(m)
+	case schema.RaftKind_RAFT_TIMEOUT_NOW:
+		if q.IsVoter(q.id) && q.role != Leader {
+			q.campaign(false, true)
+		}
+	}
+}
+
+func (q *Quorum) isNewEnough(m *schema.Raft) bool {
+	term, _ := q.termAt(q.last())
+	return m.LogTerm > term || m.LogTerm == term && m.Index >= q.last()
+}
+
+func (q *Quorum) follow(m *schema.Raft) {
+	if q.role != Follower {
+		q.become(Follower)
+	}
+	q.leader, q.heard = m.From, q.now
+	q.reset(q.now)
+}
+
+func (q *Quorum) accept(m *schema.Raft) {
+	outcome := &schema.Raft{Kind: schema.RaftKind_RAFT_APPEND_OUTCOME, To: m.From, Round: m.Round}
+	items := m.Items
+	index, logTerm := m.Index, m.LogTerm
+	for len(items) > 0 && index < q.first {
+		index, logTerm = items[0].Index, items[0].Term
+		items = items[1:]
+	}
+	if index < q.first {
+		outcome.Index = q.first
+		q.send(outcome)
+		return
+	}
+	term, isThere := q.termAt(index)
+	if !isThere || index > q.first && term != logTerm {
+		outcome.Declined = true
+		outcome.Hint = min(q.last(), index-1)
+		if isThere {
+			for outcome.Hint > q.commit {
+				hintTerm, _ := q.termAt(outcome.Hint)
+				if hintTerm != term {
+					break
+				}
+				outcome.Hint--
+			}
+		}
+		q.send(outcome)
+		return
+	}
+	for _, item := range items {
+		if own, isOwn := q.termAt(item.Index); isOwn {
+			if own == item.Term {
+				continue
+			}
+			if item.Index <= q.commit {
+				panic("quorum: a committed item would be replaced")
+			}
+			q.items = q.items[:item.Index-q.first-1]
+			q.unsynced = min(q.unsynced, item.Index)
+		}
+		q.items = append(q.items, item)
+	}
+	known := index + uint64(len(items))
+	q.commit = max(q.commit, min(m.Commit, known))
+	outcome.Index = known
+	q.send(outcome)
+}
+
+func (q *Quorum) install(m *schema.Raft) {
+	outcome := &schema.Raft{Kind: schema.RaftKind_RAFT_APPEND_OUTCOME, To: m.From, Round: m.Round, Index: m.Image.Index}
+	if m.Image.Index <= q.commit {
+		outcome.Index = q.commit
+		q.send(outcome)
+		return
+	}
+	q.first, q.firstTerm, q.base = m.Image.Index, m.Image.Term, m.Image.Members
+	q.items = nil
+	q.unsynced = q.first + 1
+	q.commit, q.handed = q.first, q.first
+	q.image = m.Image
+	q.send(outcome)
+}
+
+func (q *Quorum) acknowledge(m *schema.Raft) {
+	p := q.others[m.From]
+	if q.role != Leader || p == nil {
+		return
+	}
+	p.heard = q.now
+	p.ackRound = max(p.ackRound, m.Round)
+	if m.Declined {
+		p.next = min(max(m.Hint+1, p.match+1), q.last()+1)
+		p.isProbing = true
+		q.replicate(m.From)
+	} else {
+		wasProbing := p.isProbing
+		p.isProbing = false
+		if m.Index > p.match {
+			p.match = min(m.Index, q.last())
+		}
+		p.next = max(p.next, p.match+1)
+		q.advance()
+		if q.role == Leader && p.next > q.first && p.next <= q.last() && (wasProbing || p.next == p.match+1) {
+			q.replicate(m.From)
+		}
+	}
+	if q.role == Leader {
+		q.confirm()
+	}
+}
+
+// Compact drops the log up to an index that an image on disk covers.
+func (q *Quorum) Compact(index uint64) {
+	if index <= q.first || index > q.handed {
+		return
+	}
+	term, _ := q.termAt(index)
+	members := q.base
+	for _, item := range q.items[:index-q.first] {
+		if item.Record.Kind == schema.RecordKind_RECORD_MEMBERS {
+			members = item.Record.Members
+		}
+	}
+	q.items = slices.Clone(q.items[index-q.first:])
+	q.first, q.firstTerm, q.base = index, term, members
+}
+
+// Describe fills index, term and members of an image taken at the applied index.
+func (q *Quorum) Describe(image *schema.Image) {
+	image.Index = q.handed
+	image.Term, _ = q.termAt(q.handed)
+	image.Members = q.base
+	for _, item := range q.items {
+		if item.Index <= q.handed && item.Record.Kind == schema.RecordKind_RECORD_MEMBERS {
+			image.Members = item.Record.Members
+		}
+	}
+}
+
+// Take gives the work that is due; the shell calls Synced once its disk has it.
+func (q *Quorum) Take() Ready {
+	ready := q.ready
+	q.ready = Ready{}
+	if hard := q.hard(); !proto.Equal(hard, q.synced) {
+		ready.Hard = hard
+	}
+	if q.image != nil {
+		ready.Image, q.image = q.image, nil
+	}
+	if q.unsynced <= q.last() {
+		ready.Items = slices.Clone(q.items[q.unsynced-q.first-1:])
+	}
+	return ready
+}
+
+// Synced tells that everything of a Ready is on disk.
+func (q *Quorum) Synced(now time.Duration, ready Ready) {
+	q.now = now
+	if ready.Hard != nil {
+		q.synced = ready.Hard
+	}
+	if n := len(ready.Items); n > 0 {
+		last := ready.Items[n-1]
+		if term, isThere := q.termAt(last.Index); isThere && term == last.Term {
+			q.unsynced = max(q.unsynced, last.Index+1)
+		}
+	}
+	q.advance()
+}
+
+// Committed gives the items to apply next.
+func (q *Quorum) Committed() []*schema.LogItem {
+	until := min(q.commit, q.unsynced-1)
+	if until <= q.handed {
+		return nil
+	}
+	items := q.items[q.handed-q.first : until-q.first]
+	q.handed = until
+	if q.role == Leader {
+		q.confirm()
+	}
+	return items
+}
--- /dev/null
+++ b/internal/roster/roster.go
@@ -0,0 +1,196 @@
+// Package roster turns the platform's paged, lagging list into the back ends that the log should hold.
+package roster
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+
+	"topazshed/internal/constants"
+	"topazshed/internal/image"
+	"topazshed/internal/schema"
+)
+
+// Item is one line of the platform's list.
+type Item struct {
+	Service  string `json:"service"`
+	Instance string `json:"instance"`
+	Address  string `json:"address"`
+	District string `json:"district"`
+	State    string `json:"state"`
+}
+
+// Page is one page of the list.
+type Page struct {
+	Page     int    `json:"page"`
+	Pages    int    `json:"pages"`
+	Total    int    `json:"total"`
+	Revision uint64 `json:"revision"`
+	Backends []Item `json:"backends"`
+}
+
+// Sweep is a whole read of the list.
+type Sweep struct {
+	Items   []Item
+	IsWhole bool
+	Reason  string
+}
+
+// Join checks the pages of one sweep; missing, repeated or differing ones make it partial.
+func Join(pages []Page) Sweep {
+	sweep := Sweep{}
+	seen := map[int]bool{}
+	instances := map[string]bool{}
+	for _, page := range pages {
+		if seen[page.Page] {
+			sweep.Reason = fmt.Sprintf("page %d came twice", page.Page)
+		}
+		seen[page.Page] = true
+		if page.Pages != pages[0].Pages || page.Revision != pages[0].Revision || page.Total != pages[0].Total {
+			sweep.Reason = "the list changed between its pages"
+		}
+		for _, item := range page.Backends {
+			if item.Service == "" || item.Instance == "" || item.Address == "" || strings.Contains(item.Service+item.Instance, "/") {
+				sweep.Reason = "an item lacks service, instance or address"
+				continue
+			}
+			if instances[item.Service+"/"+item.Instance] {
+				continue
+			}
+			instances[item.Service+"/"+item.Instance] = true
+			sweep.Items = append(sweep.Items, item)
+		}
+	}
+	if sweep.Reason == "" {
+		switch {
+		case len(pages) == 0 || len(seen) != pages[0].Pages:
+			sweep.Reason = "pages are missing"
+		case len(sweep.Items) != pages[0].Total:
+			sweep.Reason = fmt.Sprintf("%d of %d back ends came", len(sweep.Items), pages[0].Total)
+		case len(sweep.Items) == 0:
+			sweep.Reason = "the list is empty"
+		}
+	}
+	sweep.IsWhole = sweep.Reason == ""
+	return sweep
+}
+
+// Roster remembers at the leader how long a back end has been missing and who finds it failing.
+type Roster struct {
+	missing map[string]int
+	vitals  map[string]map[string]bool
+}
+
+// New makes an empty roster.
+func New() *Roster {
+	return &Roster{missing: map[string]int{}, vitals: map[string]map[string]bool{}}
+}
+
+// Report takes one node's probes.
+func (r *Roster) Report(node string, vitals []*schema.Vital) {
+	fresh := map[string]bool{}
+	for _, vital := range vitals {
+		fresh[vital.Instance] = vital.Failing
+	}
+	r.vitals[node] = fresh
+}
+
+// Drop forgets a lost node's probes.
+func (r *Roster) Drop(node string) { delete(r.vitals, node) }
+
+func (r *Roster) isFailing(instance string) bool {
+	bad, good := 0, 0
+	for _, vitals := range r.vitals {
+		if isBad, isSeen := vitals[instance]; isSeen && isBad {
+			bad++
+		} else if isSeen {
+			good++
+		}
+	}
+	return bad > 0 && bad >= good+min(good, 1) && (bad >= 2 || good == 0)
+}
+
+// Plan gives the record that brings the rows in line with a sweep and the probes; sweep may be nil.
+func (r *Roster) Plan(view *image.View, table *image.Table, sweep *Sweep) *schema.Record {
+	record := &schema.Record{Kind: schema.RecordKind_RECORD_ROWS, Reason: "back ends"}
+	put := func(b *schema.Backend) {
+		key := image.BackendKey(b.Service, b.Instance)
+		guard := &schema.Guard{Key: key}
+		if row := table.Get(key); row != nil {
+			guard.Index = row.Index
+		}
+		record.Guards = append(record.Guards, guard)
+		record.Rows = append(record.Rows, image.Put(key, b))
+	}
+	known := map[string]*schema.Backend{}
+	count := map[string]int{}
+	for _, service := range view.Services {
+		for _, backend := range service.Backends {
+			known[backend.Service+"/"+backend.Instance] = backend
+			count[backend.Service]++
+		}
+	}
+	listed := map[string]bool{}
+	if sweep != nil {
+		for _, item := range sweep.Items {
+			name := item.Service + "/" + item.Instance
+			listed[name] = true
+			delete(r.missing, name)
+			state := schema.BackendState_BACKEND_READY
+			if item.State == "draining" {
+				state = schema.BackendState_BACKEND_DRAINING
+			}
+			old := known[name]
+			if old != nil && old.State == schema.BackendState_BACKEND_DRAINING && old.Address == item.Address {
+				state = schema.BackendState_BACKEND_DRAINING
+			}
+			if old == nil || old.Address != item.Address || old.State != state || old.District != item.District {
+				put(&schema.Backend{Service: item.Service, Instance: item.Instance, Address: item.Address, District: item.District, State: state, Born: table.Version() + 1})
+				known[name] = nil
+			}
+		}
+	}
+	names := make([]string, 0, len(known))
+	for name := range known {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	lost := map[string]int{}
+	for _, name := range names {
+		backend := known[name]
+		if backend == nil {
+			continue
+		}
+		if sweep != nil && sweep.IsWhole && !listed[name] {
+			r.missing[name]++
+			if r.missing[name] >= constants.RosterMissing {
+				lost[backend.Service]++
+			}
+		}
+	}
+	for _, name := range names {
+		backend := known[name]
+		if backend == nil {
+			continue
+		}
+		isFailing := r.isFailing(backend.Instance)
+		if r.missing[name] >= constants.RosterMissing && sweep != nil && sweep.IsWhole && !listed[name] {
+			isTooMany := lost[backend.Service]*100 > count[backend.Service]*constants.RosterFloor
+			if !isTooMany || isFailing {
+				key := image.BackendKey(backend.Service, backend.Instance)
+				record.Guards = append(record.Guards, &schema.Guard{Key: key, Index: table.Get(key).GetIndex()})
+				record.Rows = append(record.Rows, image.Gone(key))
+				delete(r.missing, name)
+				continue
+			}
+		}
+		if isFailing != backend.Failing {
+			put(&schema.Backend{Service: backend.Service, Instance: backend.Instance, Address: backend.Address, District: backend.District,
+				State: backend.State, Failing: isFailing, Born: backend.Born})
+		}
+	}
+	if len(record.Rows) == 0 {
+		return nil
+	}
+	return record
+}
