Disk machines take their rows from the log alone, never from deltas

Cause: a disk machine that was not yet a member subscribed to slices; the delta set its table to index V, so the log's items up to V were skipped and every row outside its slices was missing for good. Ruled out: lost deltas (the row was missing on voters, which take none) and the compiled view (the table itself lacked the row). A machine also counts its state as fresh only from a message whose commit it has applied. Conclusion: one source of rows for a machine, log or deltas, never both.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -164,6 +164,8 @@
 	pending    map[string]uint64
 	verdicts   map[uint64]string
 	imageAt    uint64
+	told       uint64
+	toldAt     time.Duration
 }
 
 // New restores a node from its journal, or makes an empty one.
@@ -240,7 +242,7 @@
 	prefix := image.ServicePrefix(service)
 	isNew := !c.held[prefix]
 	c.wanted[prefix] = now
-	if isNew && !c.isFull() {
+	if isNew && c.quorum == nil {
 		c.subscribe(now)
 	}
 }
@@ -288,7 +290,9 @@
 		c.quorum.Receive(now, body.Raft)
 		if c.quorum.LeaderID() == f.From {
 			c.leader, c.leaderAt = f.Address, now
-			c.freshAt = now
+			if body.Raft.Kind == schema.RaftKind_RAFT_APPEND {
+				c.told, c.toldAt = body.Raft.Commit, now
+			}
 		}
 	case *schema.Frame_Who:
 		c.near.Learn(body.Who.Node)
@@ -384,7 +388,7 @@
 	if now-c.beatAt >= constants.BeatEvery {
 		c.beat()
 	}
-	if !c.isFull() && now-c.subAt >= constants.SubscribeEvery {
+	if c.quorum == nil && now-c.subAt >= constants.SubscribeEvery {
 		c.subscribe(now)
 	}
 	c.spread()
@@ -616,7 +620,7 @@
 }
 
 func (c *Core) takeDelta(from string, d *schema.Delta) {
-	if from != c.source || c.isFull() {
+	if from != c.source || c.quorum != nil {
 		return
 	}
 	changed, isTaken := c.table.Merge(d)
@@ -730,6 +734,7 @@
 		c.imageAt = effects.Quorum.Image.Index
 	}
 	c.quorum.Synced(now, effects.Quorum)
+	defer c.refresh()
 	var changed []*schema.Row
 	for _, item := range c.quorum.Committed() {
 		rows, err := c.table.Apply(item.Index, item.Record, standing.Check)
@@ -759,6 +764,12 @@
 	c.spread()
 }
 
+func (c *Core) refresh() {
+	if c.told > 0 && c.table.Version() >= c.told {
+		c.freshAt = c.toldAt
+	}
+}
+
 // Compactable tells whether a new image should be written.
 func (c *Core) Compactable() bool {
 	return c.quorum != nil && c.table.Version() >= c.imageAt+constants.RaftImageEvery
--- a/internal/core/lead.go
+++ b/internal/core/lead.go
@@ -542,7 +542,7 @@
 			delete(c.wanted, prefix)
 			delete(c.held, prefix)
 			gone := c.table.Rows([]string{prefix})
-			if !c.isFull() && len(gone) > 0 && strings.HasPrefix(prefix, "s/") {
+			if c.quorum == nil && len(gone) > 0 && strings.HasPrefix(prefix, "s/") {
 				c.publish(c.table.Forget(c.prefixes()))
 			}
 		}
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -422,6 +422,9 @@
 	return nil
 }
 
+// ImageIndex is the index of the newest image on disk.
+func (j *Journal) ImageIndex() uint64 { return j.imageIndex }
+
 // NeedsImage tells whether the next file of the ring is still held.
 func (j *Journal) NeedsImage() bool {
 	held := 0
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -233,6 +233,7 @@
 func (n *Node) own() {
 	ticker := time.NewTicker(constants.Tick)
 	defer ticker.Stop()
+	driver := n.driver()
 	for {
 		select {
 		case <-n.context.Done():
@@ -250,7 +251,7 @@
 				more = false
 			}
 		}
-		if err := n.perform(); err != nil {
+		if err := driver.Perform(); err != nil {
 			n.log.Error("the disk failed; this process ends so that it can't say yes to what it hasn't kept", "reason", err.Error())
 			select {
 			case n.fatal <- err:
@@ -262,57 +263,15 @@
 	}
 }
 
-func (n *Node) perform() error {
-	for {
-		effects := n.core.Take()
-		if !effects.IsWork {
-			break
-		}
-		if n.journal != nil && (effects.Hard != nil || len(effects.Quorum.Items) > 0 || effects.Quorum.Image != nil) {
-			if err := n.sync(effects); err != nil {
-				return err
-			}
-		}
-		n.core.Synced(n.Now(), effects)
-		n.publish()
-		for _, s := range effects.Sends {
-			n.net.Send(s.To, s.Frame)
-		}
-		for _, o := range effects.Outcomes {
-			if answer, isThere := n.operates.LoadAndDelete(o.Ticket); isThere {
-				answer.(chan *schema.OperatorOutcome) <- o.Outcome
-			}
-		}
-	}
-	if n.core.Compactable() || n.journal != nil && n.journal.NeedsImage() {
-		whole := n.core.Whole()
-		if whole.Index > 0 {
-			if err := n.journal.PutImage(whole); err != nil {
-				return err
-			}
-			n.core.Compacted(whole.Index)
+func (n *Node) driver() *core.Driver {
+	return &core.Driver{Core: n.core, Journal: n.journal, Now: n.Now, Send: n.net.Send, Publish: n.publish, Synced: n.synced, Answer: func(o core.Outcome) {
+		if answer, isThere := n.operates.LoadAndDelete(o.Ticket); isThere {
+			answer.(chan *schema.OperatorOutcome) <- o.Outcome
 		}
-	}
-	n.publish()
-	return nil
+	}}
 }
 
-func (n *Node) sync(effects core.Effects) error {
-	begun := time.Now()
-	if effects.Quorum.Image != nil {
-		if err := n.journal.PutImage(effects.Quorum.Image); err != nil {
-			return err
-		}
-	}
-	err := n.journal.Append(effects.Hard, effects.Quorum.Items)
-	var full *journal.FullError
-	if errors.As(err, &full) {
-		if err := n.journal.PutImage(n.core.Whole()); err != nil {
-			return err
-		}
-		err = n.journal.Append(effects.Hard, effects.Quorum.Items)
-	}
-	took := time.Since(begun)
+func (n *Node) synced(took time.Duration, err error) {
 	disk := *n.disk.Load()
 	disk.LastSyncMs, disk.WorstMs = took.Milliseconds(), max(disk.WorstMs, took.Milliseconds())
 	if err != nil {
@@ -323,7 +282,6 @@
 		n.log.Warn("slow sync", "milliseconds", took.Milliseconds())
 		n.core.SlowDisk(n.Now())
 	}
-	return err
 }
 
 func (n *Node) publish() {
