Keys move as soon as no leg can run at the old back end, not after a whole window

Ruled out: slow detection (the row changed within 2 s of the crash). A new leader no longer waits for grants of nodes that have reported to it. What it does not show: the back ends' own slowness in letting a key go.

--- a/internal/constants/constants.go
+++ b/internal/constants/constants.go
@@ -92,7 +92,7 @@
 	VitalsFails = 2
 
 	// ClaimWindow (time) is how long an attempt id is good for after its first sending, and the longest wait of an unsafe query; documented to callers.
-	ClaimWindow = 8 * time.Second
+	ClaimWindow = 7 * time.Second
 	// ClaimKept (time) is how long a keeper remembers a claim: two windows.
 	ClaimKept = 2 * ClaimWindow
 	// ClaimReplicas (keepers) hold one claim.
@@ -146,6 +146,8 @@
 	IdlePerBackend = 8
 	// LegsMost (tries) bounds the legs of one repeat-safe query.
 	LegsMost = 4
+	// KeyedAfterglow (time) is how long a keyed leg that was cut off by its deadline counts as running: its back end can't be asked.
+	KeyedAfterglow = ClaimWindow
 	// KeySlots (slots) divide the keys of a keyed service.
 	KeySlots = 64
 
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -92,6 +92,7 @@
 
 type granted struct {
 	until       time.Duration
+	floor       uint64
 	version     uint64
 	heard       time.Duration
 	suspects    []string
@@ -159,6 +160,7 @@
 	vitals     []*schema.Vital
 	keepers    uint64
 	isKeeping  bool
+	floor      uint64
 	peers      map[string]time.Duration
 	memberAt   time.Duration
 	pending    map[string]uint64
@@ -226,6 +228,9 @@
 // SetKeeper takes this node's state as a keeper.
 func (c *Core) SetKeeper(number uint64, isReady bool) { c.keepers, c.isKeeping = number, isReady }
 
+// SetFloor takes the lowest image version that a keyed leg in flight was begun on; none is 0.
+func (c *Core) SetFloor(floor uint64) { c.floor = floor }
+
 // Stop marks the node as stopping: it is told to the leader and no match names it any more.
 func (c *Core) Stop(now time.Duration) {
 	c.now = now
@@ -440,7 +445,7 @@
 	c.serial++
 	c.beats[c.serial] = c.now
 	delete(c.beats, c.serial-64)
-	b := &schema.Beat{Node: proto.Clone(c.self).(*schema.Node), Version: c.table.Version(), Vitals: c.vitals, Suspects: c.near.Suspects(), Serial: c.serial, Keepers: c.keepers, KeeperReady: c.isKeeping}
+	b := &schema.Beat{Node: proto.Clone(c.self).(*schema.Node), Version: c.table.Version(), Vitals: c.vitals, Suspects: c.near.Suspects(), Serial: c.serial, Keepers: c.keepers, KeeperReady: c.isKeeping, Floor: c.floor}
 	if c.quorum != nil && c.quorum.Role() == quorum.Leader {
 		c.takeBeat(&schema.Frame{From: c.self.Id, Address: c.self.Address}, b)
 		return
@@ -482,6 +487,9 @@
 		}
 		g.heard, g.version, g.suspects, g.node = c.now, b.Version, b.Suspects, b.Node
 		g.keepers, g.keeperReady = b.Keepers, b.KeeperReady
+		if g.floor = b.Version; b.Floor > 0 {
+			g.floor = min(b.Floor, b.Version)
+		}
 		c.rost.Report(b.Node.Id, b.Vitals)
 		row := c.view.Nodes[b.Node.Id]
 		isKnown := row != nil && row.State != schema.NodeState_NODE_LOST && b.Node.State == row.State
--- a/internal/core/lead.go
+++ b/internal/core/lead.go
@@ -74,21 +74,41 @@
 }
 
 func (c *Core) released(index uint64) (bool, uint64) {
-	isReleased := c.now-c.electedAt >= constants.GrantTime+constants.GrantMargin
-	for _, g := range c.nodes {
-		if g.until > c.now && g.version < index {
-			isReleased = false
+	for id := range c.view.Nodes {
+		if g := c.nodes[id]; g == nil {
+			if c.now-c.electedAt < constants.GrantTime+constants.GrantMargin {
+				return false, 0
+			}
+		} else if g.version < index && max(g.until, c.unknownUntil(g)) > c.now {
+			return false, 0
 		}
 	}
-	if !isReleased {
-		return false, 0
-	}
 	if _, isSeen := c.releasedAt[index]; !isSeen {
 		c.releasedAt[index] = c.now
 	}
 	return true, uint64((c.now - c.releasedAt[index]).Milliseconds())
 }
 
+func (c *Core) unknownUntil(*granted) time.Duration {
+	return c.electedAt + constants.GrantTime + constants.GrantMargin
+}
+
+func (c *Core) isKeyFree(index uint64) bool {
+	for id := range c.view.Nodes {
+		switch g := c.nodes[id]; {
+		case g == nil:
+			if c.now-c.electedAt < constants.GrantTime+constants.GrantMargin+constants.ClaimWindow {
+				return false
+			}
+		case g.floor < index:
+			if c.now < max(g.until, c.unknownUntil(g))+constants.ClaimWindow {
+				return false
+			}
+		}
+	}
+	return true
+}
+
 func (c *Core) newestFence() uint64 {
 	var newest uint64
 	for _, name := range slices.Sorted(maps.Keys(c.view.Services)) {
@@ -176,7 +196,8 @@
 		}
 		silence := c.now - heard
 		isLost := silence > constants.NodeLostAfter && witnesses[id] >= constants.SuspectWitnesses || silence > 2*constants.NodeLostAfter
-		if isLost && row.State == schema.NodeState_NODE_STOPPING && !row.Disk || silence > time.Minute && !row.Disk {
+		isLapsed := silence > constants.GrantTime+constants.GrantMargin+constants.ClaimWindow
+		if isLapsed && row.State == schema.NodeState_NODE_STOPPING && !row.Disk || silence > time.Minute && !row.Disk {
 			put(image.NodeKey(id), image.Gone(image.NodeKey(id)))
 			delete(c.nodes, id)
 			c.rost.Drop(id)
@@ -365,7 +386,7 @@
 			case row == nil:
 				put(slot, &schema.KeyRange{Service: name, Slot: slot, Instance: target, Number: 1})
 			case row.Next != "" && row.Instance != "":
-				if isReleased, since := c.released(c.table.Get(image.SlotKey(name, slot)).GetIndex()); isReleased && since >= uint64(constants.ClaimWindow.Milliseconds()) {
+				if c.isKeyFree(c.table.Get(image.SlotKey(name, slot)).GetIndex()) {
 					put(slot, &schema.KeyRange{Service: name, Slot: slot, Instance: row.Next, Number: row.Number + 1})
 				}
 			case !slices.Contains(able, row.Instance):
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -305,6 +305,7 @@
 	}
 	number, isMember, isReady, _ := n.keeper.State()
 	n.core.SetKeeper(number, isMember && isReady)
+	n.core.SetFloor(n.loads.Floor())
 }
 
 func (n *Node) handle(f *schema.Frame) {
--- a/internal/proxy/budget.go
+++ b/internal/proxy/budget.go
@@ -41,11 +41,19 @@
 type Loads struct {
 	shards [shards]loadShard
 	now    func() time.Duration
+	lock   sync.Mutex
+	serial uint64
+	keyed  map[uint64]keyedLeg
+}
+
+type keyedLeg struct {
+	version uint64
+	until   time.Duration
 }
 
 // NewLoads makes empty tables.
 func NewLoads(now func() time.Duration) *Loads {
-	l := &Loads{now: now}
+	l := &Loads{now: now, keyed: map[uint64]keyedLeg{}}
 	for i := range l.shards {
 		l.shards[i] = loadShard{inFlight: map[string]int{}, bad: map[string]int{}, ramps: map[string]*ramp{}, windows: map[string]*window{}, keys: map[string]int{}, all: map[string]int{}}
 	}
@@ -202,3 +210,37 @@
 		}
 	}
 }
+
+// BeginKeyed notes the image version that a keyed leg was begun on; the closure ends it, at once or after its afterglow.
+func (l *Loads) BeginKeyed(version uint64) func(isCutOff bool) {
+	l.lock.Lock()
+	defer l.lock.Unlock()
+	l.serial++
+	id := l.serial
+	l.keyed[id] = keyedLeg{version: version}
+	return func(isCutOff bool) {
+		l.lock.Lock()
+		defer l.lock.Unlock()
+		if isCutOff {
+			l.keyed[id] = keyedLeg{version, l.now() + constants.KeyedAfterglow}
+		} else {
+			delete(l.keyed, id)
+		}
+	}
+}
+
+// Floor is the lowest image version that a running keyed leg was begun on, or none.
+func (l *Loads) Floor() uint64 {
+	l.lock.Lock()
+	defer l.lock.Unlock()
+	var floor uint64
+	now := l.now()
+	for id, leg := range l.keyed {
+		if leg.until > 0 && now >= leg.until {
+			delete(l.keyed, id)
+		} else if floor == 0 || leg.version < floor {
+			floor = leg.version
+		}
+	}
+	return floor
+}
--- a/internal/proxy/executor.go
+++ b/internal/proxy/executor.go
@@ -11,6 +11,7 @@
 	"log/slog"
 	"net/http"
 	"net/url"
+	"os"
 	"slices"
 	"strconv"
 	"strings"
@@ -304,10 +305,15 @@
 		x.options.Log.Debug("back end not reached", "instance", b.Instance, "reason", err.Error())
 		return nil, nil, true
 	}
+	endKeyed := func(bool) {}
+	if d.Entry.Keyed {
+		endKeyed = x.options.Loads.BeginKeyed(d.Version)
+	}
 	local := x.options.Local()
 	again, isOwn := Check(Situation{Now: x.options.Now(), Local: local, Self: x.options.Self, Query: q, IsClaimed: l.isClaimed, Left: until - x.options.Now()})
 	if !isOwn || !isStill(local, again, d) {
 		x.options.Pool.Put(conn)
+		endKeyed(false)
 		return nil, nil, true
 	}
 	limit := until
@@ -322,6 +328,7 @@
 	l.legs++
 	outcome, isTouched, isClean, err := x.exchange(conn, q, d, limit-x.options.Now())
 	l.isTouched = l.isTouched || isTouched
+	endKeyed(err != nil && errors.Is(err, os.ErrDeadlineExceeded))
 	if isClean {
 		x.options.Pool.Put(conn)
 	} else {
--- a/internal/sim/sim.go
+++ b/internal/sim/sim.go
@@ -285,6 +285,7 @@
 			}
 			number, isMember, isReady, _ := n.keeper.State()
 			n.core.SetKeeper(number, isMember && isReady)
+			n.core.SetFloor(n.loads.Floor())
 		}}
 	f.tick(n, boot)
 	f.vitals(n, boot)
