Tests by tables; deltas with two changes of one row; a damaged file head is found

Ruled out: the source's memory of changes (its rows were right). Cause 2: a ring file whose head was damaged was passed over in silence, with all its records; the head is now synced before any record and a record behind a bad head is corruption (TestJournalDamage, 'the file's head': 0 items and no error before).

--- /dev/null
+++ b/internal/catalog/catalog_test.go
@@ -0,0 +1,92 @@
+package catalog
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/sebdah/goldie/v2"
+
+	"topazshed/internal/image"
+	"topazshed/internal/schema"
+)
+
+func world(t *testing.T) (*image.Table, *image.View) {
+	t.Helper()
+	table := image.NewTable()
+	_, err := table.Apply(1, &schema.Record{Kind: schema.RecordKind_RECORD_ROWS, Rows: []*schema.Row{
+		image.Put(image.RegionKey("north"), &schema.Region{Name: "north", Residue: 1}),
+		image.Put(image.RegionKey("south"), &schema.Region{Name: "south", Residue: 3}),
+		image.Put(image.DistrictKey("north-a"), &schema.District{Name: "north-a", Region: "north", Residue: 0}),
+		image.Put(image.DistrictKey("south-a"), &schema.District{Name: "south-a", Region: "south", Residue: 2}),
+		image.Put(image.NodeKey("n1"), &schema.Node{Id: "n1", District: "north-a", Region: "north", State: schema.NodeState_NODE_READY}),
+		image.Put(image.BackendKey("ledger", "l-1"), &schema.Backend{Service: "ledger", Instance: "l-1", District: "north-a", State: schema.BackendState_BACKEND_READY}),
+	}}, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return table, image.Compile(table)
+}
+
+func TestReadTellsEveryFault(t *testing.T) {
+	_, view := world(t)
+	var text strings.Builder
+	for _, c := range []struct{ name, document string }{
+		{"good", `{"entries":[{"service":"ledger","path":"/balances","methods":["GET"],"repeat_safe":["GET"],"home_regions":["north"]}]}`},
+		{"no JSON", `{"entries":[`},
+		{"text behind", `{"entries":[]} {}`},
+		{"empty", `{"entries":[]}`},
+		{"unknown fields and kinds", `{"colour":1,"entries":[{"service":7,"path":"/x","methods":"GET","repeat_safe":[1],"shape":2,"keyed":"yes","body_limit":-1}, 3]}`},
+		{"absent service and region", `{"entries":[{"service":"nobody","path":"/x","methods":["GET"],"repeat_safe":[],"home_regions":["moon"]}]}`},
+		{"homes that can't be met", `{"entries":[{"service":"ledger","path":"/x","methods":["GET"],"repeat_safe":[],"home_regions":["south"]}]}`},
+		{"twice, bad path, bad methods", `{"entries":[{"service":"ledger","path":"/x","methods":["GET"],"repeat_safe":[]},{"service":"ledger","path":"/x","methods":["GET","GET","FETCH"],"repeat_safe":["PUT"]},{"service":"Ledger","path":"x/../y","methods":[],"repeat_safe":[]}]}`},
+		{"limits", `{"entries":[{"service":"ledger","path":"/x","methods":["GET"],"repeat_safe":[],"body_limit":99999999,"outcome_limit":99999999,"bearable":5000}]}`},
+		{"oversize", `{"entries":[` + strings.Repeat(" ", 1<<20) + `]}`},
+	} {
+		entries, faults := Read([]byte(c.document), view)
+		fmt.Fprintf(&text, "%s: %d entries\n", c.name, len(entries))
+		for _, fault := range faults {
+			fmt.Fprintf(&text, "  %s: %s\n", fault.Path, fault.Message)
+		}
+		if (len(faults) == 0) != (c.name == "good") {
+			t.Errorf("%s has %d faults", c.name, len(faults))
+		}
+	}
+	goldie.New(t).Assert(t, "faults", []byte(text.String()))
+}
+
+func TestPlanGivesOneWinner(t *testing.T) {
+	table, view := world(t)
+	document := []byte(`{"entries":[{"service":"ledger","path":"/balances","methods":["GET"],"repeat_safe":["GET"]}]}`)
+	plan := func() (*schema.Record, error) {
+		entries, faults := Read(document, view)
+		if len(faults) > 0 {
+			t.Fatal(faults)
+		}
+		record, _, err := Plan(table, entries, document, 0, "")
+		if err == nil {
+			Standings(view, table, record)
+		}
+		return record, err
+	}
+	first, err := plan()
+	if err != nil {
+		t.Fatal(err)
+	}
+	second, err := plan()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := table.Apply(2, first, nil); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := table.Apply(3, second, nil); err == nil {
+		t.Fatal("both racing records were applied")
+	}
+	if standing := image.Decode[schema.Standing](table.Get(image.StandingKey("ledger", "/balances", "north"))); standing.GetNumber() != 100 {
+		t.Fatalf("the standing does not come with the configuration: %v", standing)
+	}
+	if _, err := plan(); err == nil || !strings.Contains(err.Error(), "newest configuration is version 1") {
+		t.Fatalf("a put on an old base got %v", err)
+	}
+}
--- a/internal/image/table.go
+++ b/internal/image/table.go
@@ -219,7 +219,9 @@
 	}
 	for _, row := range t.Rows(delta.Whole) {
 		if !kept[row.Key] {
-			changed = append(changed, &schema.Row{Key: row.Key, Gone: true, Index: delta.To})
+			gone := &schema.Row{Key: row.Key, Gone: true, Index: delta.To}
+			changed = append(changed, gone)
+			t.set(gone)
 		}
 	}
 	for _, row := range delta.Rows {
@@ -227,11 +229,9 @@
 		isNewer := own == nil && !row.Gone || own != nil && row.Index > own.Index
 		if isNewer || own != nil && !row.Gone && within(row.Key, delta.Whole) && !bytes.Equal(own.Value, row.Value) {
 			changed = append(changed, row)
+			t.set(row)
 		}
 	}
-	for _, row := range changed {
-		t.set(row)
-	}
 	t.version = delta.To
 	if len(delta.Whole) > 0 {
 		t.changes, t.since = nil, delta.To
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -205,6 +205,22 @@
 		order = append(order, found{file, slot})
 	}
 	sort.Slice(order, func(a, b int) bool { return order[a].file.generation < order[b].file.generation })
+	newest := uint64(0)
+	if len(order) > 0 {
+		newest = order[len(order)-1].file.generation
+	}
+	for _, file := range j.files {
+		if file.generation > 0 {
+			continue
+		}
+		text := make([]byte, file.area.Size())
+		if _, err := file.area.ReadAt(text, 0); err != nil {
+			return fmt.Errorf("read %s: %w", file.name, err)
+		}
+		if _, _, _, _, isGood := parse(text, fileHead, newest+1); isGood {
+			return &CorruptError{file.name, 0}
+		}
+	}
 	var last uint64
 	isFirst := true
 	for i, it := range order {
@@ -347,6 +363,9 @@
 	if _, err := file.area.WriteAt(head, 0); err != nil {
 		return err
 	}
+	if err := file.area.Sync(); err != nil {
+		return err
+	}
 	return j.put(kindHard, j.hard, 0)
 }
 
--- /dev/null
+++ b/internal/journal/journal_test.go
@@ -0,0 +1,138 @@
+package journal_test
+
+import (
+	"errors"
+	"math/rand"
+	"testing"
+
+	"google.golang.org/protobuf/proto"
+
+	"topazshed/internal/journal"
+	"topazshed/internal/schema"
+	"topazshed/internal/sim"
+)
+
+var sizes = journal.Options{Files: 4, FileBytes: 16 << 10, ImageBytes: 32 << 10}
+
+func item(index, term uint64, size int) *schema.LogItem {
+	return &schema.LogItem{Index: index, Term: term, Record: &schema.Record{Kind: schema.RecordKind_RECORD_ROWS, Rows: []*schema.Row{{Key: "k", Value: make([]byte, size)}}}}
+}
+
+func open(t *testing.T, disk journal.Disk) (*journal.Journal, *journal.State) {
+	t.Helper()
+	j, state, err := journal.Open(disk, sizes)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return j, state
+}
+
+func TestJournalKeepsWhatItSaid(t *testing.T) {
+	for seed := range int64(300) {
+		random := rand.New(rand.NewSource(seed))
+		disk := sim.NewDisk()
+		j, _ := open(t, disk)
+		var kept []*schema.LogItem
+		hard := &schema.HardState{Term: 1, Id: "n"}
+		imageIndex := uint64(0)
+		for range 200 {
+			switch random.Intn(12) {
+			case 0:
+				hard = &schema.HardState{Term: hard.Term + 1, Id: "n", Vote: "v"}
+			case 1:
+				if len(kept) > 4 {
+					kept = kept[:len(kept)-1-random.Intn(3)]
+				}
+			case 2:
+				disk.Crash(random)
+				var state *schema.HardState
+				opened, read := open(t, disk)
+				j, state = opened, read.Hard
+				compare(t, seed, state, hard, read, kept, imageIndex)
+			}
+			next := imageIndex + 1
+			if len(kept) > 0 {
+				next = kept[len(kept)-1].Index + 1
+			}
+			it := item(next, hard.Term, random.Intn(900))
+			err := j.Append(hard, []*schema.LogItem{it})
+			var full *journal.FullError
+			if errors.As(err, &full) || err == nil && j.NeedsImage() {
+				if err != nil && len(kept) == 0 {
+					t.Fatalf("seed %d: the ring is full with nothing in it", seed)
+				}
+				if len(kept) > 0 {
+					imageIndex = kept[len(kept)-1].Index
+					if err := j.PutImage(&schema.Image{Index: imageIndex, Term: hard.Term}); err != nil {
+						t.Fatal(err)
+					}
+					kept = nil
+				}
+				if err != nil {
+					err = j.Append(hard, []*schema.LogItem{it})
+				}
+			}
+			if err != nil {
+				t.Fatalf("seed %d: %v", seed, err)
+			}
+			kept = append(kept, it)
+		}
+	}
+}
+
+func compare(t *testing.T, seed int64, state, hard *schema.HardState, read *journal.State, kept []*schema.LogItem, imageIndex uint64) {
+	t.Helper()
+	if len(kept) > 0 && !proto.Equal(state, hard) && state.Term < kept[len(kept)-1].Term {
+		t.Fatalf("seed %d: hard state %v, want %v", seed, state, hard)
+	}
+	if read.Image.GetIndex() != imageIndex {
+		t.Fatalf("seed %d: image %d, want %d", seed, read.Image.GetIndex(), imageIndex)
+	}
+	for i, it := range kept {
+		if i >= len(read.Items) || !proto.Equal(read.Items[i], it) {
+			t.Fatalf("seed %d: item %d of %d is not what was synced", seed, i, len(kept))
+		}
+	}
+}
+
+func TestJournalDamage(t *testing.T) {
+	for _, c := range []struct {
+		name      string
+		damage    func(*sim.Disk)
+		isCorrupt bool
+		items     int
+	}{
+		{"nothing", func(*sim.Disk) {}, false, 10},
+		{"a byte in the middle", func(d *sim.Disk) { d.Flip("ring-0", 300) }, true, 0},
+		{"the last record, as a torn tail", func(d *sim.Disk) { d.FlipLast("ring-0") }, false, 9},
+		{"the file's head", func(d *sim.Disk) { d.Flip("ring-0", 9) }, true, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			disk := sim.NewDisk()
+			j, _ := open(t, disk)
+			for i := range uint64(10) {
+				if err := j.Append(&schema.HardState{Term: 1, Id: "n"}, []*schema.LogItem{item(i+1, 1, 110)}); err != nil {
+					t.Fatal(err)
+				}
+			}
+			c.damage(disk)
+			_, state, err := journal.Open(disk, sizes)
+			var corrupt *journal.CorruptError
+			if errors.As(err, &corrupt) != c.isCorrupt {
+				t.Fatalf("got %v, corrupt wanted %v", err, c.isCorrupt)
+			}
+			if err == nil && len(state.Items) != c.items {
+				t.Fatalf("%d items, want %d", len(state.Items), c.items)
+			}
+		})
+	}
+}
+
+func TestJournalDeclinesLargeImage(t *testing.T) {
+	j, _ := open(t, sim.NewDisk())
+	err := j.PutImage(&schema.Image{Index: 1, Rows: []*schema.Row{{Key: "k", Value: make([]byte, 64<<10)}}})
+	var large *journal.LargeError
+	if !errors.As(err, &large) {
+		t.Fatalf("got %v", err)
+	}
+}
--- /dev/null
+++ b/internal/proxy/proxy_test.go
@@ -0,0 +1,347 @@
+package proxy
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"topazshed/internal/constants"
+	"topazshed/internal/core"
+	"topazshed/internal/image"
+	"topazshed/internal/schema"
+	"topazshed/internal/standing"
+)
+
+const noon = time.Hour
+
+type world struct {
+	rows []*schema.Row
+}
+
+func (w *world) put(key string, row *schema.Row) { w.rows = append(w.rows, row) }
+
+func base(backends ...*schema.Backend) *world {
+	w := &world{}
+	for i, name := range []string{"north", "south"} {
+		w.put("", image.Put(image.RegionKey(name), &schema.Region{Name: name, Residue: uint32(2*i + 1)}))
+	}
+	for i, name := range []string{"north-a", "north-b", "south-a"} {
+		region, _, _ := strings.Cut(name, "-")
+		w.put("", image.Put(image.DistrictKey(name), &schema.District{Name: name, Region: region, Residue: uint32(2 * i)}))
+		w.put("", image.Put(image.NodeKey("n"+name), &schema.Node{Id: "n" + name, District: name, Region: region, Proxy: name + ":1", State: schema.NodeState_NODE_READY}))
+	}
+	w.put("", image.Put(image.EntryKey("ledger", "/balances"), &schema.Entry{Service: "ledger", Path: "/balances", Methods: []string{"GET"}, SafeMethods: []string{"GET"}, BodyLimit: 64, OutcomeLimit: 4096, Bearable: 6}))
+	w.put("", image.Put(image.EntryKey("ledger", "/pay"), &schema.Entry{Service: "ledger", Path: "/pay", Methods: []string{"POST"}, BodyLimit: 64, OutcomeLimit: 4096, Bearable: 6}))
+	w.put("", image.Put(image.StandingKey("ledger", "/balances", "north"), &schema.Standing{Service: "ledger", Path: "/balances", Region: "north", Number: 100}))
+	w.put("", image.Put(image.StandingKey("ledger", "/balances", "south"), &schema.Standing{Service: "ledger", Path: "/balances", Region: "south", Number: 101}))
+	w.put("", image.Put(image.StandingKey("ledger", "/pay", "north"), &schema.Standing{Service: "ledger", Path: "/pay", Region: "north", Number: 100}))
+	w.put("", image.Put(image.EntityKey("ledger", "/pay"), &schema.Entity{Service: "ledger", Path: "/pay", Region: "north", Number: 101}))
+	w.put("", image.Put(image.KeepersKey("north"), &schema.Keepers{Region: "north", Number: 1, Members: []*schema.Member{{Id: "k1", Address: "k1"}, {Id: "k2", Address: "k2"}, {Id: "k3", Address: "k3"}}}))
+	for _, b := range backends {
+		w.put("", image.Put(image.BackendKey(b.Service, b.Instance), b))
+	}
+	return w
+}
+
+func (w *world) view() *image.View {
+	table := image.NewTable()
+	if _, err := table.Apply(5, &schema.Record{Kind: schema.RecordKind_RECORD_ROWS, Rows: w.rows}, nil); err != nil {
+		panic(err)
+	}
+	return image.Compile(table)
+}
+
+func fresh(view *image.View) *core.Local {
+	return &core.Local{View: view, IsFull: true, FreshAt: noon, TickAt: noon, PeersAt: noon, GrantUntil: noon + constants.GrantTime}
+}
+
+func backend(instance, district string) *schema.Backend {
+	return &schema.Backend{Service: "ledger", Instance: instance, Address: "127.0.0.1:1", District: district, State: schema.BackendState_BACKEND_READY}
+}
+
+func TestDecide(t *testing.T) {
+	north := &schema.Node{Id: "nnorth-a", District: "north-a", Region: "north"}
+	safe := func() *Query {
+		return &Query{Service: "ledger", Path: "/balances/7", Method: "GET", Attempt: "attempt-1", Origin: standing.Origin{Region: "north"}}
+	}
+	unsafe := func() *Query {
+		return &Query{Service: "ledger", Path: "/pay", Method: "POST", Attempt: "attempt-1", Origin: standing.Origin{Service: "ledger", Path: "/pay"}}
+	}
+	all := []*schema.Backend{backend("l-1", "north-a"), backend("l-2", "north-b"), backend("l-3", "south-a")}
+	for _, c := range []struct {
+		name   string
+		world  *world
+		change func(*Situation)
+		query  *Query
+		turn   Turn
+		kind   string
+		chosen string
+	}{
+		{"a safe query goes to the nearest back end", base(all...), nil, safe(), TurnLeg, "", "l-1"},
+		{"or to another district of the region", base(all[1:]...), nil, safe(), TurnLeg, "", "l-2"},
+		{"but never outside the owner's region", base(all[2:]...), nil, safe(), TurnPark, "", ""},
+		{"a tried back end is not tried again", base(all...), func(s *Situation) { s.Tried["l-1"] = true }, safe(), TurnLeg, "", "l-2"},
+		{"a stale isolated proxy declines", base(all...), func(s *Situation) {
+			s.Now += constants.IsolatedAfter
+			s.Local.TickAt = s.Now
+			s.Parked = constants.ParkMost
+		}, safe(), TurnDecline, "unready", ""},
+		{"one cut off with its region serves on", base(all...), func(s *Situation) {
+			s.Now += constants.IsolatedAfter
+			s.Local.TickAt, s.Local.PeersAt = s.Now, s.Now
+		}, safe(), TurnLeg, "", "l-1"},
+		{"a thawed proxy refreshes first", base(all...), func(s *Situation) { s.Local.ThawedAt = noon }, safe(), TurnPark, "", ""},
+		{"one that has not ticked is taken as frozen", base(all...), func(s *Situation) { s.Local.TickAt = noon - 2*time.Second }, safe(), TurnPark, "", ""},
+		{"an unknown service", base(all...), func(s *Situation) { s.Query.Service = "nobody" }, safe(), TurnDecline, "unknown-entry", ""},
+		{"an unknown path", base(all...), func(s *Situation) { s.Query.Path = "/balance" }, safe(), TurnDecline, "unknown-entry", ""},
+		{"a path is matched by whole parts", base(all...), func(s *Situation) { s.Query.Path = "/balancesheet" }, safe(), TurnDecline, "unknown-entry", ""},
+		{"a method that the entry lacks", base(all...), func(s *Situation) { s.Query.Method = "POST" }, safe(), TurnDecline, "bad-method", ""},
+		{"a slice that is not held is asked for", base(all...), func(s *Situation) { s.Local.IsFull = false }, safe(), TurnPark, "", ""},
+		{"another group's query is forwarded", base(all...), func(s *Situation) { s.Query.Origin.Region = "south" }, safe(), TurnLeg, "", "l-1"},
+		{"to the group that the number names", func() *world {
+			w := base(all...)
+			w.put("", image.Put(image.StandingKey("ledger", "/balances", "north"), &schema.Standing{Service: "ledger", Path: "/balances", Region: "north", Number: 102}))
+			return w
+		}(), nil, safe(), TurnForward, "", ""},
+		{"but a forwarded one is never forwarded again", func() *world {
+			w := base(all...)
+			w.put("", image.Put(image.StandingKey("ledger", "/balances", "north"), &schema.Standing{Service: "ledger", Path: "/balances", Region: "north", Number: 102}))
+			return w
+		}(), func(s *Situation) { s.Query.Forwarded = standing.Trail{100}; s.Parked = constants.ParkMost }, safe(), TurnDecline, "moved", ""},
+		{"a higher forwarded number waits for the image", base(all...), func(s *Situation) { s.Query.Forwarded = standing.Trail{200} }, safe(), TurnPark, "", ""},
+		{"an unsafe query is claimed first", base(all...), nil, unsafe(), TurnClaim, "", ""},
+		{"and then has its leg", base(all...), func(s *Situation) { s.IsClaimed = true }, unsafe(), TurnLeg, "", "l-1"},
+		{"it needs a live grant", base(all...), func(s *Situation) { s.Local.GrantUntil = noon; s.IsClaimed = true }, unsafe(), TurnPark, "", ""},
+		{"and an open fence", func() *world {
+			w := base(all...)
+			w.put("", image.Put(image.EntityKey("ledger", "/pay"), &schema.Entity{Service: "ledger", Path: "/pay", Region: "north", Number: 201, Fenced: true}))
+			return w
+		}(), func(s *Situation) { s.IsClaimed = true }, unsafe(), TurnPark, "", ""},
+		{"a region's origin does not fit a bound entry", base(all...), func(s *Situation) { s.Query.Origin = standing.Origin{Region: "north"} }, unsafe(), TurnDecline, "bad-origin", ""},
+		{"an emptied district serves nothing", func() *world {
+			w := base(all...)
+			w.put("", image.Put(image.DistrictKey("north-a"), &schema.District{Name: "north-a", Region: "north", Emptied: true}))
+			return w
+		}(), nil, safe(), TurnPark, "", ""},
+		{"a draining back end gets nothing", base(func() *schema.Backend {
+			b := backend("l-1", "north-a")
+			b.State = schema.BackendState_BACKEND_DRAINING
+			return b
+		}()), nil, safe(), TurnPark, "", ""},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := Situation{Now: noon, Local: fresh(c.world.view()), Self: north, Query: c.query, Load: NewLoads(func() time.Duration { return noon }), Tried: map[string]bool{}, Left: time.Second, Draw: func(int64) int64 { return 0 }}
+			if c.change != nil {
+				c.change(&s)
+			}
+			d := Decide(s)
+			kind, chosen := "", ""
+			if d.Decline != nil {
+				kind = d.Decline.Kind
+			}
+			if d.Backend != nil {
+				chosen = d.Backend.Instance
+			}
+			if d.Turn != c.turn || kind != c.kind || chosen != c.chosen {
+				t.Fatalf("got turn %v kind %q back end %q, want %v %q %q", d.Turn, kind, chosen, c.turn, c.kind, c.chosen)
+			}
+		})
+	}
+}
+
+func TestBudgets(t *testing.T) {
+	l := NewLoads(func() time.Duration { return noon })
+	for i := range 100 {
+		l.First(noon+time.Duration(i)*time.Millisecond, "s")
+	}
+	repeats := 0
+	for l.Repeat(noon+time.Second, "s", 5) {
+		repeats++
+	}
+	if repeats != 100*constants.RepeatShare/100+constants.RepeatAllowance/5 {
+		t.Errorf("%d repeats of 100 first legs", repeats)
+	}
+	if l.Repeat(noon+constants.RepeatWindow+time.Second, "s", 5) != true || l.Repeat(noon+constants.RepeatWindow+time.Second, "nobody", 5) {
+		t.Error("the window does not slide, or a service without legs may repeat")
+	}
+	cold := &schema.Backend{Instance: "c", Cold: true}
+	begun := 0
+	for i := range 1000 {
+		if l.MayBegin(noon+time.Duration(i)*time.Millisecond, cold, 4, 6) {
+			begun++
+		}
+	}
+	if begun < 1 || begun > 2 {
+		t.Errorf("a cold back end got %d legs from one of four proxies in its first second", begun)
+	}
+}
+
+type stand struct {
+	mode     string
+	runs     atomic.Int64
+	identity Identity
+}
+
+func (s *stand) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == "/identity" {
+		w.Header().Set("Content-Type", "application/json")
+		json.NewEncoder(w).Encode(s.identity)
+		return
+	}
+	s.runs.Add(1)
+	body := []byte(`{"balance":1}`)
+	h := w.Header()
+	h.Set(HeaderAttempt, r.Header.Get(HeaderAttempt))
+	h.Set(HeaderService, s.identity.Service)
+	h.Set(HeaderInstance, s.identity.Instance)
+	h.Set(HeaderDigest, Seal(body))
+	switch s.mode {
+	case "garbage":
+		body = []byte("????")
+	case "other attempt":
+		h.Set(HeaderAttempt, "somebody-elses")
+	case "other instance":
+		h.Set(HeaderInstance, "l-9")
+	case "truncated":
+		h.Set("Content-Length", "500")
+	case "oversize":
+		body = []byte(strings.Repeat("x", 5000))
+		h.Set(HeaderDigest, Seal(body))
+	case "lost":
+		panic(http.ErrAbortHandler)
+	case "unsealed":
+		h.Del(HeaderDigest)
+	}
+	w.Write(body)
+}
+
+func executor(t *testing.T, stands ...*stand) *Executor {
+	t.Helper()
+	var backends []*schema.Backend
+	for _, s := range stands {
+		server := httptest.NewServer(s)
+		t.Cleanup(server.Close)
+		b := backend(fmt.Sprintf("l-%d", len(backends)+1), "north-a")
+		if s.identity.Service == "" {
+			s.identity = Identity{"ledger", b.Instance}
+		}
+		b.Address = strings.TrimPrefix(server.URL, "http://")
+		backends = append(backends, b)
+	}
+	begun := time.Now()
+	now := func() time.Duration { return noon + time.Since(begun) }
+	view := base(backends...).view()
+	pool := NewPool("127.0.0.1:0")
+	t.Cleanup(func() { pool.Close() })
+	x := NewExecutor(Options{Self: &schema.Node{Id: "nnorth-a", District: "north-a", Region: "north"}, Now: now, Pool: pool, Loads: NewLoads(now), Draw: func(int64) int64 { return 0 },
+		Log: slog.New(slog.NewTextHandler(io.Discard, nil)), Want: func(string) {},
+		Local: func() *core.Local {
+			l := fresh(view)
+			l.FreshAt, l.TickAt, l.PeersAt, l.GrantUntil = now(), now(), now(), now()+time.Second
+			return l
+		},
+		Call: func(_ context.Context, _ string, f *schema.Frame) (*schema.Frame, error) {
+			return &schema.Frame{Body: &schema.Frame_ClaimOutcome{ClaimOutcome: &schema.ClaimOutcome{State: schema.ClaimState_CLAIM_TAKEN}}}, nil
+		}})
+	for range 40 {
+		x.options.Loads.First(now(), "ledger")
+	}
+	return x
+}
+
+func send(x *Executor, method, path, origin string, change func(*http.Request)) *httptest.ResponseRecorder {
+	body := ""
+	if method == "POST" {
+		body = "amount=1"
+	}
+	r := httptest.NewRequest(method, path, strings.NewReader(body))
+	r.Header.Set(HeaderAttempt, "attempt-0001")
+	r.Header.Set(HeaderWait, "2000")
+	r.Header.Set(HeaderOrigin, origin)
+	if change != nil {
+		change(r)
+	}
+	w := httptest.NewRecorder()
+	x.ServeHTTP(w, r)
+	return w
+}
+
+func TestBadOutcomesNeverReachACaller(t *testing.T) {
+	for _, mode := range []string{"garbage", "other attempt", "other instance", "truncated", "oversize", "lost", "unsealed"} {
+		t.Run(mode, func(t *testing.T) {
+			bad, good := &stand{mode: mode}, &stand{}
+			x := executor(t, bad, good)
+			w := send(x, "GET", "/ledger/balances/1", "region=north", nil)
+			if w.Code != 200 || w.Header().Get(HeaderOutcome) != OutcomeSealed || w.Body.String() != `{"balance":1}` || good.runs.Load() != 1 {
+				t.Errorf("safe query: status %d, outcome %q, body %q", w.Code, w.Header().Get(HeaderOutcome), w.Body)
+			}
+			bad2, good2 := &stand{mode: mode}, &stand{}
+			x = executor(t, bad2, good2)
+			w = send(x, "POST", "/ledger/pay", "entry=ledger/pay", nil)
+			if w.Code != 502 || w.Header().Get(HeaderOutcome) != OutcomeDoubtful || bad2.runs.Load() != 1 || good2.runs.Load() != 0 || w.Header().Get("Retry-After") == "" {
+				t.Errorf("unsafe query: status %d, outcome %q, runs %d and %d", w.Code, w.Header().Get(HeaderOutcome), bad2.runs.Load(), good2.runs.Load())
+			}
+		})
+	}
+}
+
+func TestReusedAddressGetsNoLeg(t *testing.T) {
+	stranger, good := &stand{identity: Identity{"payments", "p-1"}}, &stand{}
+	x := executor(t, stranger, good)
+	for _, method := range []string{"GET", "POST"} {
+		path, origin := "/ledger/balances/1", "region=north"
+		if method == "POST" {
+			path, origin = "/ledger/pay", "entry=ledger/pay"
+		}
+		w := send(x, method, path, origin, nil)
+		if w.Code != 200 || stranger.runs.Load() != 0 {
+			t.Errorf("%s: status %d, the stranger ran %d", method, w.Code, stranger.runs.Load())
+		}
+	}
+}
+
+func TestBadQueriesGetNoLeg(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		path   string
+		change func(*http.Request)
+		status int
+		kind   string
+	}{
+		{"no attempt", "/ledger/balances", func(r *http.Request) { r.Header.Del(HeaderAttempt) }, 400, "bad-attempt"},
+		{"a malformed attempt", "/ledger/balances", func(r *http.Request) { r.Header.Set(HeaderAttempt, "a b") }, 400, "bad-attempt"},
+		{"two attempts", "/ledger/balances", func(r *http.Request) { r.Header.Add(HeaderAttempt, "attempt-0002") }, 400, "bad-attempt"},
+		{"no wait", "/ledger/balances", func(r *http.Request) { r.Header.Del(HeaderWait) }, 400, "bad-wait"},
+		{"a wait of a day", "/ledger/balances", func(r *http.Request) { r.Header.Set(HeaderWait, "86400000") }, 400, "bad-wait"},
+		{"no origin", "/ledger/balances", func(r *http.Request) { r.Header.Del(HeaderOrigin) }, 400, "bad-origin"},
+		{"a malformed origin", "/ledger/balances", func(r *http.Request) { r.Header.Set(HeaderOrigin, "planet=earth") }, 400, "bad-origin"},
+		{"an unknown service", "/nobody/balances", nil, 404, "unknown-entry"},
+		{"an unknown path", "/ledger/secrets", nil, 404, "unknown-entry"},
+		{"a dotted path", "/ledger/balances/../secrets", nil, 400, "bad-path"},
+		{"an escaped dotted path", "/ledger/balances/%2e%2e/secrets", nil, 400, "bad-path"},
+		{"an oversize body", "/ledger/balances", func(r *http.Request) {
+			r.Body, r.ContentLength = io.NopCloser(strings.NewReader(strings.Repeat("x", 100))), 100
+		}, 413, "oversize"},
+		{"a forged forward", "/ledger/balances", func(r *http.Request) { r.Header.Set(HeaderForwarded, "x") }, 400, "bad-forward"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := &stand{}
+			w := send(executor(t, s), "GET", c.path, "region=north", c.change)
+			var body errorBody
+			if err := json.Unmarshal(w.Body.Bytes(), &body); err != nil {
+				t.Fatalf("no typed JSON: %v", err)
+			}
+			if w.Code != c.status || body.Kind != c.kind || body.Outcome != OutcomeDeclined || s.runs.Load() != 0 {
+				t.Errorf("status %d kind %q outcome %q runs %d", w.Code, body.Kind, body.Outcome, s.runs.Load())
+			}
+		})
+	}
+}
--- a/internal/sim/disk.go
+++ b/internal/sim/disk.go
@@ -89,3 +89,14 @@
 	a.live[at] ^= 0x40
 	a.kept[at] ^= 0x40
 }
+
+// FlipLast damages the last byte of a file that is not zero.
+func (d *Disk) FlipLast(name string) {
+	live := d.areas[name].live
+	for at := len(live) - 1; at >= 0; at-- {
+		if live[at] != 0 {
+			d.Flip(name, int64(at))
+			return
+		}
+	}
+}
