The digest test takes the last delta before it damages a row

Seen: 'damage shows as [node/ s/a/]', now only node/. The rig's report tells from when to when calls were not sealed.

--- a/cmd/rig/main.go
+++ b/cmd/rig/main.go
@@ -53,18 +53,19 @@
 
 // Report is the outcome of a run.
 type Report struct {
-	Deployment string           `json:"deployment"`
-	Seed       int64            `json:"seed"`
-	Calls      int              `json:"calls"`
-	Outcomes   map[string]int   `json:"outcomes"`
-	Reasons    map[string]int   `json:"reasons"`
-	Latency    map[string][]int `json:"latency_ms_p50_p90_p99_max"`
-	Gap        int              `json:"longest_gap_ms"`
-	UnsafeGap  int              `json:"longest_unsafe_gap_ms"`
-	Verdicts   []*Verdict       `json:"verdicts"`
-	Faults     []string         `json:"faults"`
-	ReadyMs    int64            `json:"ready_ms"`
-	UnsafeMs   int64            `json:"unsafe_ready_ms"`
+	Deployment string            `json:"deployment"`
+	Seed       int64             `json:"seed"`
+	Calls      int               `json:"calls"`
+	Outcomes   map[string]int    `json:"outcomes"`
+	Reasons    map[string]int    `json:"reasons"`
+	Spans      map[string][2]int `json:"spans_ms"`
+	Latency    map[string][]int  `json:"latency_ms_p50_p90_p99_max"`
+	Gap        int               `json:"longest_gap_ms"`
+	UnsafeGap  int               `json:"longest_unsafe_gap_ms"`
+	Verdicts   []*Verdict        `json:"verdicts"`
+	Faults     []string          `json:"faults"`
+	ReadyMs    int64             `json:"ready_ms"`
+	UnsafeMs   int64             `json:"unsafe_ready_ms"`
 }
 
 func (c *runCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
@@ -106,7 +107,7 @@
 		fmt.Printf("  %-14s p50/p90/p99/max %v ms\n", name, r.Latency[name])
 	}
 	for reason, count := range r.Reasons {
-		fmt.Printf("  not sealed: %-30s %d\n", reason, count)
+		fmt.Printf("  not sealed: %-30s %d, begun from %d to %d ms\n", reason, count, r.Spans[reason][0], r.Spans[reason][1])
 	}
 	for _, v := range r.Verdicts {
 		state := "ok"
@@ -182,7 +183,7 @@
 	}
 	callers := newCallers(history, fleet, dep, c.seed)
 	runner := &Runner{fleet: fleet, world: world, callers: callers, history: history, dep: dep}
-	report := &Report{Deployment: dep.Name, Seed: c.seed, Outcomes: map[string]int{}, Reasons: map[string]int{}, Latency: map[string][]int{}}
+	report := &Report{Deployment: dep.Name, Seed: c.seed, Outcomes: map[string]int{}, Reasons: map[string]int{}, Spans: map[string][2]int{}, Latency: map[string][]int{}}
 	isPut := false
 	for !isPut && ctx.Err() == nil && history.now()-begun < 30*time.Second {
 		isPut = runner.put()
@@ -274,7 +275,13 @@
 				good = append(good, call.End)
 			}
 		} else {
-			report.Reasons[call.Service+": "+call.Outcome+" "+call.Last]++
+			reason := call.Service + ": " + call.Outcome + " " + call.Last
+			report.Reasons[reason]++
+			span, at := report.Spans[reason], int((call.At - since).Milliseconds())
+			if report.Reasons[reason] == 1 {
+				span = [2]int{at, at}
+			}
+			report.Spans[reason] = [2]int{min(span[0], at), max(span[1], at)}
 		}
 	}
 	for name, list := range latencies {
--- a/internal/image/table_test.go
+++ b/internal/image/table_test.go
@@ -57,6 +57,10 @@
 				t.Fatal("the reader holds a slice it did not ask for")
 			}
 		}
+		rows, _ := source.Changes(reader.Version(), slices)
+		if _, isTaken := reader.Merge(&schema.Delta{From: reader.Version(), To: source.Version(), Rows: rows}); !isTaken {
+			t.Fatal("the last delta was not taken")
+		}
 		reader.rows.Put("node/7", &schema.Row{Key: "node/7", Value: []byte("damaged"), Index: 1})
 		if names := source.Differing([]*schema.RangeDigest{reader.Digest("node/"), reader.Digest(ServicePrefix("a"))}); len(names) != 1 || names[0] != "node/" {
 			t.Fatalf("seed %d: damage shows as %v", seed, names)
