--- a/cmd/topazshed/main.go
+++ b/cmd/topazshed/main.go
@@ -22,6 +22,7 @@
 	subcommands.Register(&districtCommand{isEmpty: true}, "operators")
 	subcommands.Register(&districtCommand{}, "operators")
 	subcommands.Register(&statusCommand{}, "operators")
+	subcommands.Register(&doctorCommand{}, "operators")
 	subcommands.Register(&versionCommand{}, "")
 	flag.Parse()
 	os.Exit(int(subcommands.Execute(context.Background())))
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -109,6 +109,7 @@
 	Rows          int               `json:"rows"`
 	Configuration uint64            `json:"configuration"`
 	Fit           bool              `json:"fit"`
+	ClockMs       int64             `json:"clock_ms"`
 	FreshMs       int64             `json:"fresh_ms"`
 	GrantMs       int64             `json:"grant_ms"`
 	ListMs        int64             `json:"list_ms"`
@@ -241,7 +242,7 @@
 	now, local := d.options.Now(), d.options.Local()
 	view := local.View
 	s := &Status{Node: d.options.Self.Id, System: local.System, Role: local.Role, Term: local.Term, Leader: local.Leader, Index: view.Version, Rows: local.Rows,
-		Configuration: view.Head.Version, Fit: proxy.IsFit(now, local), FreshMs: (now - local.FreshAt).Milliseconds(), GrantMs: max(0, local.GrantUntil-now).Milliseconds(),
+		Configuration: view.Head.Version, Fit: proxy.IsFit(now, local), ClockMs: now.Milliseconds(), FreshMs: (now - local.FreshAt).Milliseconds(), GrantMs: max(0, local.GrantUntil-now).Milliseconds(),
 		ListMs: -1, ListFault: local.ListFault, Suspects: local.Suspects, Outcomes: d.options.Stats()}
 	if local.ListAt > 0 {
 		s.ListMs = (now - local.ListAt).Milliseconds()
