--- a/internal/standing/standing_test.go
+++ b/internal/standing/standing_test.go
@@ -64,3 +64,113 @@
 		})
 	}
 }
+
+func fleet(t *testing.T, rows ...*schema.Row) (*image.Table, *image.View) {
+	t.Helper()
+	table := image.NewTable()
+	all := []*schema.Row{}
+	for i, region := range []string{"north", "south"} {
+		all = append(all, image.Put(image.RegionKey(region), &schema.Region{Name: region, Residue: uint32(2*i + 1)}))
+		for j, side := range []string{"-a", "-b"} {
+			name := region + side
+			all = append(all, image.Put(image.DistrictKey(name), &schema.District{Name: name, Region: region, Residue: uint32(4*i + 2*j)}),
+				image.Put(image.NodeKey(name), &schema.Node{Id: name, District: name, Region: region, State: schema.NodeState_NODE_READY}),
+				image.Put(image.BackendKey("ledger", name), &schema.Backend{Service: "ledger", Instance: name, District: name, State: schema.BackendState_BACKEND_READY}))
+		}
+	}
+	all = append(all, image.Put(image.EntryKey("ledger", "/b"), &schema.Entry{Service: "ledger", Path: "/b", Methods: []string{"GET"}, SafeMethods: []string{"GET"}}))
+	if _, err := table.Apply(1, &schema.Record{Kind: schema.RecordKind_RECORD_ROWS, Rows: append(all, rows...)}, Check); err != nil {
+		t.Fatal(err)
+	}
+	return table, image.Compile(table)
+}
+
+func stand(region string, number uint64, isFenced bool) *schema.Row {
+	return image.Put(image.StandingKey("ledger", "/b", region), &schema.Standing{Service: "ledger", Path: "/b", Region: region, Number: number, Fenced: isFenced})
+}
+
+func TestResolve(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		rows   []*schema.Row
+		homes  []string
+		origin string
+		want   string
+	}{
+		{"a group of the region", []*schema.Row{stand("north", 102, false)}, nil, "region=north", "north-b 102"},
+		{"one hop to another region", []*schema.Row{stand("north", 103, false), stand("south", 104, false)}, nil, "region=north", "south-a 103.104"},
+		{"two regions that point at each other", []*schema.Row{stand("north", 103, false), stand("south", 101, false)}, nil, "region=north", "error"},
+		{"no row", nil, nil, "region=north", "error"},
+		{"a residue that nobody has", []*schema.Row{stand("north", 150, false)}, nil, "region=north", "error"},
+		{"a group of another region", []*schema.Row{stand("north", 104, false)}, nil, "region=north", "error"},
+		{"never outside the home regions", []*schema.Row{stand("north", 103, false), stand("south", 104, false)}, []string{"north"}, "region=north", "error"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			_, view := fleet(t, c.rows...)
+			entry := view.Services["ledger"].Entries[0]
+			entry.HomeRegions = c.homes
+			origin, err := ParseOrigin(c.origin)
+			if err != nil {
+				t.Fatal(err)
+			}
+			got := "error"
+			if owner, err := Resolve(view, entry, origin); err == nil {
+				got = owner.District + " " + owner.Trail.String()
+			}
+			if got != c.want {
+				t.Fatalf("got %q, want %q", got, c.want)
+			}
+		})
+	}
+}
+
+func TestPlan(t *testing.T) {
+	lost := func(name string) *schema.Row {
+		region, _, _ := strings.Cut(name, "-")
+		return image.Put(image.NodeKey(name), &schema.Node{Id: name, District: name, Region: region, State: schema.NodeState_NODE_LOST})
+	}
+	emptied := func(name string, residue uint32) *schema.Row {
+		region, _, _ := strings.Cut(name, "-")
+		return image.Put(image.DistrictKey(name), &schema.District{Name: name, Region: region, Residue: residue, Emptied: true, Reason: "test"})
+	}
+	for _, c := range []struct {
+		name       string
+		rows       []*schema.Row
+		isReleased bool
+		want       map[string]string
+	}{
+		{"a standing that is right stays", []*schema.Row{stand("north", 100, false), stand("south", 106, false)}, true, map[string]string{}},
+		{"a lost group is replaced in its region, fenced", []*schema.Row{stand("north", 100, false), stand("south", 106, false), lost("north-a")}, true, map[string]string{"north": "north-b 102 fenced"}},
+		{"numbers rise on the way back too", []*schema.Row{stand("north", 102, false), stand("south", 106, false), lost("north-b")}, true, map[string]string{"north": "north-a 200 fenced"}},
+		{"an emptied district loses its standing", []*schema.Row{stand("north", 100, false), stand("south", 106, false), emptied("south-b", 6)}, true, map[string]string{"south": "south-a 204 fenced"}},
+		{"a region without a group points to another", []*schema.Row{stand("north", 100, false), stand("south", 106, false), lost("north-a"), lost("north-b")}, true, map[string]string{"north": "region south 103 fenced"}},
+		{"a fence falls once grants are released", []*schema.Row{stand("north", 100, true), stand("south", 106, false)}, true, map[string]string{"north": "north-a 100"}},
+		{"and not before", []*schema.Row{stand("north", 100, true), stand("south", 106, false)}, false, map[string]string{}},
+		{"nowhere to go changes nothing", []*schema.Row{stand("north", 100, false), stand("south", 106, false), lost("north-a"), lost("north-b"), lost("south-a"), lost("south-b")}, true, map[string]string{}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			table, view := fleet(t, c.rows...)
+			got := map[string]string{}
+			for _, record := range Plan(view, table, func(uint64) (bool, uint64) { return c.isReleased, 1 << 30 }) {
+				for _, row := range record.Rows {
+					s := image.Decode[schema.Standing](row)
+					got[s.Region] = GroupName(view, s.Number) + " " + Trail{s.Number}.String()
+					if s.Fenced {
+						got[s.Region] += " fenced"
+					}
+				}
+				if _, err := table.Apply(table.Version()+1, record, Check); err != nil {
+					t.Error(err)
+				}
+			}
+			if len(got) != len(c.want) {
+				t.Fatalf("got %v, want %v", got, c.want)
+			}
+			for region, want := range c.want {
+				if got[region] != want {
+					t.Errorf("%s: got %q, want %q", region, got[region], want)
+				}
+			}
+		})
+	}
+}
