Keys go to warm back ends little by little; declines say when to come back

Keys now go to the warm back end with the fewest, and at most 4 slots move at once to even out. A decline now carries the time that is left at most, and every final answer is given 150 ms before the caller's wait ends.

--- a/cmd/rig/main.go
+++ b/cmd/rig/main.go
@@ -65,6 +65,7 @@
 	Verdicts   []*Verdict        `json:"verdicts"`
 	Faults     []string          `json:"faults"`
 	ReadyMs    int64             `json:"ready_ms"`
+	Timeline   []string          `json:"timeline"`
 	UnsafeMs   int64             `json:"unsafe_ready_ms"`
 }
 
@@ -106,6 +107,12 @@
 	for _, name := range names {
 		fmt.Printf("  %-14s p50/p90/p99/max %v ms\n", name, r.Latency[name])
 	}
+	if len(r.Reasons) > 0 {
+		fmt.Println("  sealed+other and mean time, by begin:")
+		for _, line := range r.Timeline {
+			fmt.Println("   ", line)
+		}
+	}
 	for reason, count := range r.Reasons {
 		fmt.Printf("  not sealed: %-30s %d, begun from %d to %d ms\n", reason, count, r.Spans[reason][0], r.Spans[reason][1])
 	}
@@ -289,6 +296,40 @@
 		at := func(share float64) int { return list[min(len(list)-1, int(share*float64(len(list))))] }
 		report.Latency[name] = []int{at(0.5), at(0.9), at(0.99), list[len(list)-1]}
 	}
+	const slice = 2 * time.Second
+	type cell struct{ sealed, other, milliseconds int }
+	cells := map[int]map[string]*cell{}
+	for _, call := range h.Calls {
+		if call.At < since {
+			continue
+		}
+		at := int((call.At - since) / slice)
+		if cells[at] == nil {
+			cells[at] = map[string]*cell{}
+		}
+		if cells[at][call.Service] == nil {
+			cells[at][call.Service] = &cell{}
+		}
+		if c := cells[at][call.Service]; call.Outcome == "sealed" {
+			c.sealed++
+			c.milliseconds += int((call.End - call.At).Milliseconds())
+		} else {
+			c.other++
+		}
+	}
+	for at := 0; at <= int((until-since)/slice); at++ {
+		line := fmt.Sprintf("%3ds", at*int(slice.Seconds()))
+		names := make([]string, 0, len(cells[at]))
+		for name := range cells[at] {
+			names = append(names, name)
+		}
+		slices.Sort(names)
+		for _, name := range names {
+			c := cells[at][name]
+			line += fmt.Sprintf("  %s %d+%d %d ms", name, c.sealed, c.other, c.milliseconds/max(1, c.sealed))
+		}
+		report.Timeline = append(report.Timeline, line)
+	}
 	gap := func(list []time.Duration) int {
 		slices.Sort(list)
 		worst, last := time.Duration(0), since
--- a/internal/claim/claim.go
+++ b/internal/claim/claim.go
@@ -37,6 +37,7 @@
 	isReady    bool
 	copied     map[string]bool
 	clearAt    time.Duration
+	adoptedAt  time.Duration
 	askedAt    time.Duration
 	copiedIn   map[string]bool
 	hasLived   bool
@@ -104,6 +105,7 @@
 		if wasReady && slices.ContainsFunc(set.Former, func(m *schema.Member) bool { return m.Id == k.id }) {
 			k.copied[k.id] = true
 		}
+		k.adoptedAt = now
 		k.clearAt, k.askedAt = 0, now-constants.ClaimCopyEvery
 		if k.hasLived && !k.hasAdopted {
 			k.askedAt = now + constants.ClaimWait*5/4
@@ -197,6 +199,16 @@
 	k.settle(now)
 }
 
+func (k *Keeper) left(now time.Duration) time.Duration {
+	switch {
+	case k.clearAt > 0:
+		return k.clearAt - now
+	case now-k.adoptedAt < constants.RetryAfter:
+		return constants.RetryAfter
+	}
+	return max(constants.RetryAfter, k.adoptedAt+constants.GrantTime+constants.GrantMargin+constants.ClaimWindow-now)
+}
+
 // Take decides one claim; isGranted is false when this node has no live grant.
 func (k *Keeper) Take(now time.Duration, c *schema.Claim, isGranted bool) *schema.ClaimOutcome {
 	k.lock.RLock()
@@ -212,6 +224,7 @@
 	case !k.isReady:
 		if k.clearAt == 0 || now < k.clearAt {
 			outcome.State = schema.ClaimState_CLAIM_SILENT
+			outcome.LeftMs = uint32(k.left(now).Milliseconds())
 			return outcome
 		}
 	}
--- a/internal/constants/constants.go
+++ b/internal/constants/constants.go
@@ -114,6 +114,10 @@
 	ParkMost = 1500 * time.Millisecond
 	// ParkShort (time) is how long a query waits for a grant or for keepers; another proxy may have them, so the caller is told soon.
 	ParkShort = 500 * time.Millisecond
+	// AnswerMargin (time) before the end of a caller's wait its final answer is given, so that it arrives: two far links and a busy machine.
+	AnswerMargin = 150 * time.Millisecond
+	// AnswerShare (parts) of a wait is the most that the margin may take.
+	AnswerShare = 5
 	// ParkStep (time) is how often a parked query is asked about again.
 	ParkStep = 20 * time.Millisecond
 	// RetryAfter (time) is what a declined caller is told to wait: one failover is mostly over by then.
@@ -150,6 +154,8 @@
 	LegsMost = 4
 	// KeyedAfterglow (time) is how long a keyed leg that was cut off by its deadline counts as running: its back end can't be asked.
 	KeyedAfterglow = ClaimWindow
+	// KeyMoves (slots) of a service are moved at once to even out its back ends; a newly warm one so gets its share little by little.
+	KeyMoves = 4
 	// KeySlots (slots) divide the keys of a keyed service.
 	KeySlots = 64
 
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"maps"
 	"slices"
+	"strings"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -61,6 +62,7 @@
 	FreshAt    time.Duration
 	GrantUntil time.Duration
 	ThawedAt   time.Duration
+	Fences     map[string]time.Duration
 	TickAt     time.Duration
 	PeersAt    time.Duration
 	Leader     string
@@ -167,6 +169,7 @@
 	verdicts   map[uint64]string
 	imageAt    uint64
 	told       uint64
+	fences     map[string]time.Duration
 	toldAt     time.Duration
 }
 
@@ -176,7 +179,7 @@
 		table: image.NewTable(), view: image.NewView(), rost: roster.New(), beats: map[uint64]time.Duration{}, held: map[string]bool{},
 		wanted: map[string]time.Duration{}, subs: map[uint64]time.Duration{}, subscriber: map[string]*subscriber{}, nodes: map[string]*granted{},
 		releasedAt: map[uint64]time.Duration{}, reads: map[uint64]*waiter{}, seeds: map[string]time.Duration{}, empties: map[string]bool{},
-		peers: map[string]time.Duration{}, pending: map[string]uint64{}, verdicts: map[uint64]string{}, now: now, tickedAt: now}
+		peers: map[string]time.Duration{}, pending: map[string]uint64{}, verdicts: map[uint64]string{}, fences: map[string]time.Duration{}, now: now, tickedAt: now}
 	c.near = neighbours.New(neighbours.Options{Self: c.self, Seeds: options.Seeds, Draw: options.Draw})
 	if options.Self.Disk {
 		if options.Image != nil {
@@ -653,14 +656,42 @@
 		return
 	}
 	c.view = c.view.With(c.table, changed)
+	c.noteFences(changed)
 	if c.system == "" && c.view.System != "" {
 		c.system = c.view.System
 	}
 }
 
+func (c *Core) noteFences(changed []*schema.Row) {
+	isCloned := false
+	for _, row := range changed {
+		isFenced := false
+		switch {
+		case strings.Contains(row.Key, "/standing/"):
+			isFenced = image.Decode[schema.Standing](row).GetFenced()
+		case strings.Contains(row.Key, "/entity/"):
+			isFenced = image.Decode[schema.Entity](row).GetFenced()
+		default:
+			continue
+		}
+		if _, isNoted := c.fences[row.Key]; !isFenced && !isNoted {
+			continue
+		}
+		if !isCloned {
+			c.fences = maps.Clone(c.fences)
+			isCloned = true
+		}
+		if isFenced {
+			c.fences[row.Key] = c.now
+		} else {
+			delete(c.fences, row.Key)
+		}
+	}
+}
+
 // Local gives what the hot path may rely on now.
 func (c *Core) Local() *Local {
-	l := &Local{View: c.view, Held: maps.Clone(c.held), IsFull: c.isFull(), FreshAt: c.freshAt, GrantUntil: c.grantUntil, ThawedAt: c.thawedAt, TickAt: c.tickedAt,
+	l := &Local{View: c.view, Held: maps.Clone(c.held), IsFull: c.isFull(), FreshAt: c.freshAt, GrantUntil: c.grantUntil, Fences: c.fences, ThawedAt: c.thawedAt, TickAt: c.tickedAt,
 		Leader: c.leader, System: c.system, ListAt: c.listAt, ListFault: c.listFault, Suspects: c.near.Suspects(), Known: len(c.near.Known()), Rows: c.table.Size(),
 		IsStopping: c.self.State == schema.NodeState_NODE_STOPPING, Role: "reader"}
 	if c.quorum != nil {
--- a/internal/core/lead.go
+++ b/internal/core/lead.go
@@ -362,17 +362,39 @@
 				region = entity.Region
 			}
 		}
-		var able []string
+		share := map[string]int{}
+		isWarm := map[string]bool{}
 		for _, backend := range service.Backends {
 			district := c.view.Districts[backend.District]
 			if district != nil && district.Region == region && !district.Emptied && backend.State == schema.BackendState_BACKEND_READY && !backend.Failing {
-				able = append(able, backend.Instance)
+				share[backend.Instance] = 0
+				isWarm[backend.Instance] = !backend.Cold
 			}
 		}
-		if len(able) == 0 {
+		if len(share) == 0 {
 			continue
 		}
-		slices.Sort(able)
+		moving := 0
+		for slot := range uint32(constants.KeySlots) {
+			row := service.Slots[slot]
+			holder := row.GetInstance()
+			if row.GetNext() != "" {
+				holder = row.Next
+				moving++
+			}
+			if _, isAble := share[holder]; isAble {
+				share[holder]++
+			}
+		}
+		least := func() string {
+			best := ""
+			for _, name := range slices.Sorted(maps.Keys(share)) {
+				if best == "" || isWarm[name] && !isWarm[best] || isWarm[name] == isWarm[best] && share[name] < share[best] {
+					best = name
+				}
+			}
+			return best
+		}
 		record := &schema.Record{Kind: schema.RecordKind_RECORD_ROWS, Reason: "keys of " + name}
 		put := func(slot uint32, fresh *schema.KeyRange) {
 			key := image.SlotKey(name, slot)
@@ -381,16 +403,30 @@
 		}
 		for slot := range uint32(constants.KeySlots) {
 			row := service.Slots[slot]
-			target := able[int(slot)%len(able)]
+			_, isAble := share[row.GetInstance()]
+			target := least()
 			switch {
 			case row == nil:
 				put(slot, &schema.KeyRange{Service: name, Slot: slot, Instance: target, Number: 1})
-			case row.Next != "" && row.Instance != "":
+				share[target]++
+			case row.Next != "":
 				if c.isKeyFree(c.table.Get(image.SlotKey(name, slot)).GetIndex()) {
-					put(slot, &schema.KeyRange{Service: name, Slot: slot, Instance: row.Next, Number: row.Number + 1})
+					next := row.Next
+					if _, isThere := share[next]; !isThere {
+						next = target
+						share[next]++
+					}
+					put(slot, &schema.KeyRange{Service: name, Slot: slot, Instance: next, Number: row.Number + 1})
 				}
-			case !slices.Contains(able, row.Instance):
+			case !isAble:
+				put(slot, &schema.KeyRange{Service: name, Slot: slot, Instance: row.Instance, Number: row.Number + 1, Next: target})
+				share[target]++
+				moving++
+			case moving < constants.KeyMoves && isWarm[target] && share[row.Instance] > share[target]+2:
 				put(slot, &schema.KeyRange{Service: name, Slot: slot, Instance: row.Instance, Number: row.Number + 1, Next: target})
+				share[row.Instance]--
+				share[target]++
+				moving++
 			}
 		}
 		c.propose(record)
--- a/internal/proxy/decider.go
+++ b/internal/proxy/decider.go
@@ -169,7 +169,7 @@
 	needsGrant := !d.IsSafe || entry.Keyed
 	if needsGrant {
 		if owner.Fenced {
-			return park("fenced", "number %d waits for the former group's grants to lapse; send again", owner.Number)
+			return s.fenced(d), false
 		}
 		if s.Now >= s.Local.GrantUntil {
 			return park("no-grant", "this proxy holds no grant for unsafe queries now; send again")
@@ -199,6 +199,23 @@
 	return d
 }
 
+func (s Situation) fenced(d Decision) Decision {
+	age := time.Duration(0)
+	if at, isNoted := s.Local.Fences[d.Owner.Fence]; isNoted {
+		age = s.Now - at
+	}
+	if age < constants.ParkMost && s.Left > 0 {
+		return s.park(d, "fenced", "number %d waits for the former group's grants to lapse; send again", d.Owner.Number)
+	}
+	left := constants.GrantTime + constants.GrantMargin - age
+	if d.Owner.Far {
+		left += constants.ClaimWindow
+	}
+	d.Turn, d.Decline = TurnDecline, declineLater("fenced", "number %d waits for the former group's grants and claims to lapse; send again then", d.Owner.Number)
+	d.Decline.RetryAfter = max(constants.RetryAfter, left)
+	return d
+}
+
 func match(s Situation, d Decision) Decision {
 	q, entry, owner, view := s.Query, d.Entry, d.Owner, s.Local.View
 	park := func(kind, form string, args ...any) Decision { return s.park(d, kind, form, args...) }
--- a/internal/proxy/executor.go
+++ b/internal/proxy/executor.go
@@ -129,13 +129,15 @@
 	isTouched bool
 	tried     map[string]bool
 	lastFault string
+	silence   time.Duration
 }
 
 // Run carries a query until it has its one outcome.
 func (x *Executor) Run(ctx context.Context, q *Query, begun time.Duration) (*Outcome, *DeclineError) {
 	l := &leg{tried: map[string]bool{}, attempt: q.Attempt, holder: fmt.Sprintf("%s/%d", x.options.Self.Id, x.serial.Add(1))}
-	until := begun + q.Wait
-	ctx, cancel := context.WithTimeout(ctx, q.Wait)
+	wait := q.Wait - min(constants.AnswerMargin, q.Wait/constants.AnswerShare)
+	until := begun + wait
+	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
 	var parkedAt, parked time.Duration
 	forwards := 0
@@ -197,7 +199,9 @@
 				case <-time.After(constants.ParkStep):
 				}
 				if x.options.Now()-parkedAt >= constants.ParkShort {
-					return nil, x.giveUp(l, declineLater("no-claim", "the keepers of this attempt id did not agree; send again"))
+					fault := declineLater("no-claim", "the keepers of this attempt id did not agree; send again")
+					fault.RetryAfter = max(constants.RetryAfter, l.silence)
+					return nil, x.giveUp(l, fault)
 				}
 			}
 		case TurnLeg:
@@ -281,6 +285,8 @@
 			taken++
 		case schema.ClaimState_CLAIM_HELD:
 			heldElsewhere++
+		case schema.ClaimState_CLAIM_SILENT:
+			l.silence = time.Duration(a.outcome.LeftMs) * time.Millisecond
 		}
 		if taken >= claim.Majority(len(members)) {
 			break
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -124,6 +124,13 @@
 			w.put("", image.Put(image.EntityKey("ledger", "/pay"), &schema.Entity{Service: "ledger", Path: "/pay", Region: "north", Number: 201, Fenced: true}))
 			return w
 		}(), func(s *Situation) { s.IsClaimed = true }, unsafe(), TurnPark, "", ""},
+		{"an old fence is told at once, with when to come back", func() *world {
+			w := base(all...)
+			w.put("", image.Put(image.EntityKey("ledger", "/pay"), &schema.Entity{Service: "ledger", Path: "/pay", Region: "north", Number: 201, Fenced: true}))
+			return w
+		}(), func(s *Situation) {
+			s.Local.Fences = map[string]time.Duration{image.EntityKey("ledger", "/pay"): noon - 2*time.Second}
+		}, unsafe(), TurnDecline, "fenced", ""},
 		{"a region's origin does not fit a bound entry", base(all...), func(s *Situation) { s.Query.Origin = standing.Origin{Region: "north"} }, unsafe(), TurnDecline, "bad-origin", ""},
 		{"an emptied district serves nothing", func() *world {
 			w := base(all...)
