A released claim is let go whatever set its keeper has adopted; ends name their round

Ruled out: a leg of the first sending (the back ends saw none). Found while mending: a claim's end carried only its query's name, so an end of round 1 that came late over another connection could have let go round 2's claim, whose leg may run; ends and claims now carry the round.

--- a/internal/claim/claim.go
+++ b/internal/claim/claim.go
@@ -19,6 +19,7 @@
 	digest []byte
 	holder string
 	number uint64
+	round  uint32
 	until  time.Duration
 }
 
@@ -167,7 +168,7 @@
 		s.lock.Lock()
 		for attempt, h := range s.claims {
 			if h.until > now {
-				outcome.Claims = append(outcome.Claims, &schema.HeldClaim{Attempt: attempt, Digest: h.digest, Holder: h.holder, Number: h.number, LeftMs: uint32((h.until - now).Milliseconds())})
+				outcome.Claims = append(outcome.Claims, &schema.HeldClaim{Attempt: attempt, Digest: h.digest, Holder: h.holder, Number: h.number, Round: h.round, LeftMs: uint32((h.until - now).Milliseconds())})
 			}
 		}
 		s.lock.Unlock()
@@ -186,7 +187,7 @@
 		s := &k.shards[hash(c.Attempt)%shards]
 		s.lock.Lock()
 		if s.claims[c.Attempt] == nil {
-			s.claims[c.Attempt] = &held{c.Digest, c.Holder, c.Number, now + time.Duration(c.LeftMs)*time.Millisecond}
+			s.claims[c.Attempt] = &held{c.Digest, c.Holder, c.Number, c.Round, now + time.Duration(c.LeftMs)*time.Millisecond}
 		}
 		s.lock.Unlock()
 	}
@@ -214,6 +215,11 @@
 	k.lock.RLock()
 	defer k.lock.RUnlock()
 	outcome := &schema.ClaimOutcome{Keepers: k.set.GetNumber()}
+	if c.Ended {
+		k.end(c)
+		outcome.State = schema.ClaimState_CLAIM_ENDED
+		return outcome
+	}
 	switch {
 	case k.set == nil || !k.isMember || !isGranted:
 		outcome.State = schema.ClaimState_CLAIM_SILENT
@@ -239,26 +245,30 @@
 			}
 		}
 	}
-	if h := s.claims[c.Attempt]; c.Ended {
-		if h != nil && h.holder == c.Holder {
-			delete(s.claims, c.Attempt)
-		}
-		outcome.State = schema.ClaimState_CLAIM_ENDED
-		return outcome
-	} else if h != nil && h.until > now {
+	if h := s.claims[c.Attempt]; h != nil && h.until > now {
 		outcome.Holder = h.holder
 		outcome.State = schema.ClaimState_CLAIM_HELD
-		if h.holder == c.Holder && bytes.Equal(h.digest, c.Digest) {
+		if h.holder == c.Holder && c.Round >= h.round && bytes.Equal(h.digest, c.Digest) {
+			h.round = c.Round
 			outcome.State = schema.ClaimState_CLAIM_TAKEN
 		}
 		return outcome
 	}
-	s.claims[c.Attempt] = &held{c.Digest, c.Holder, c.Number, now + constants.ClaimKept}
+	s.claims[c.Attempt] = &held{c.Digest, c.Holder, c.Number, c.Round, now + constants.ClaimKept}
 	outcome.State = schema.ClaimState_CLAIM_TAKEN
 	outcome.Holder = c.Holder
 	return outcome
 }
 
+func (k *Keeper) end(c *schema.Claim) {
+	s := &k.shards[hash(c.Attempt)%shards]
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	if h := s.claims[c.Attempt]; h != nil && h.holder == c.Holder && c.Round >= h.round {
+		delete(s.claims, c.Attempt)
+	}
+}
+
 // State describes a keeper for status: set number, membership, readiness and claims held.
 func (k *Keeper) State() (number uint64, isMember, isReady bool, claims int) {
 	k.lock.RLock()
--- a/internal/claim/claim_test.go
+++ b/internal/claim/claim_test.go
@@ -49,6 +49,17 @@
 			k.Take(0, claimOf("x", "p/1", 1), true)
 			k.Take(0, &schema.Claim{Attempt: "x", Holder: "p/1", Keepers: 1, Region: "r", Ended: true}, true)
 		}, time.Second, claimOf("x", "p/3", 1), false, taken},
+		{"also when its set has changed since", "a", false, func(k *Keeper) {
+			k.Take(0, claimOf("x", "p/1", 1), true)
+			k.Adopt(0, second)
+			k.Take(0, &schema.Claim{Attempt: "x", Holder: "p/1", Keepers: 1, Region: "r", Ended: true}, true)
+			k.Copied(0, "b", &schema.ClaimCopyOutcome{Ready: true, Keepers: 2})
+		}, time.Second, claimOf("x", "p/3", 2), false, taken},
+		{"a late end of an earlier round ends nothing", "a", false, func(k *Keeper) {
+			k.Take(0, claimOf("x", "p/1", 1), true)
+			k.Take(0, &schema.Claim{Attempt: "x", Holder: "p/1", Keepers: 1, Region: "r", Round: 2}, true)
+			k.Take(0, &schema.Claim{Attempt: "x", Holder: "p/1", Keepers: 1, Region: "r", Round: 1, Ended: true}, true)
+		}, time.Second, claimOf("x", "p/3", 1), false, held},
 		{"after a change a keeper is silent", "a", false, func(k *Keeper) { k.Adopt(0, second) }, constants.ClaimWindow * 3, claimOf("x", "p/1", 2), false, silent},
 		{"until all but one former keeper gave theirs", "a", false, func(k *Keeper) {
 			k.Adopt(0, second)
--- a/internal/proxy/executor.go
+++ b/internal/proxy/executor.go
@@ -130,6 +130,7 @@
 	tried     map[string]bool
 	lastFault string
 	silence   time.Duration
+	round     uint32
 }
 
 // Run carries a query until it has its one outcome.
@@ -244,7 +245,7 @@
 	done := make(chan bool, len(l.held))
 	for _, m := range l.held {
 		go func() {
-			x.options.Call(ctx, m.Address, &schema.Frame{Body: &schema.Frame_Claim{Claim: &schema.Claim{Attempt: l.attempt, Holder: l.holder, Keepers: l.keepers.Number, Region: l.keepers.Region, Ended: true}}})
+			x.options.Call(ctx, m.Address, &schema.Frame{Body: &schema.Frame_Claim{Claim: &schema.Claim{Attempt: l.attempt, Holder: l.holder, Keepers: l.keepers.Number, Region: l.keepers.Region, Round: l.round, Ended: true}}})
 			done <- true
 		}()
 	}
@@ -265,10 +266,12 @@
 		outcome *schema.ClaimOutcome
 	}
 	answers := make(chan answer, len(members))
+	l.keepers, l.held = d.Keepers, members
+	l.round++
 	for _, m := range members {
 		go func() {
 			f, err := x.options.Call(callCtx, m.Address, &schema.Frame{Body: &schema.Frame_Claim{Claim: &schema.Claim{Attempt: q.Attempt, Digest: q.Digest, Holder: l.holder,
-				Number: d.Owner.Number, Keepers: d.Keepers.Number, Region: d.Keepers.Region, WaitMs: uint32(q.Wait.Milliseconds())}}})
+				Number: d.Owner.Number, Keepers: d.Keepers.Number, Region: d.Keepers.Region, Round: l.round, WaitMs: uint32(q.Wait.Milliseconds())}}})
 			if err != nil {
 				answers <- answer{m, &schema.ClaimOutcome{}}
 				return
@@ -276,7 +279,6 @@
 			answers <- answer{m, f.GetClaimOutcome()}
 		}()
 	}
-	l.keepers, l.held = d.Keepers, members
 	taken, heldElsewhere := 0, 0
 	for range members {
 		a := <-answers
--- a/internal/sim/sim.go
+++ b/internal/sim/sim.go
@@ -776,6 +776,7 @@
 	parked  time.Duration
 	claimed bool
 	keepers *schema.Keepers
+	round   uint32
 	holder  string
 	tried   map[string]bool
 	legs    int
@@ -855,6 +856,7 @@
 	members := claim.Match(d.Keepers, t.query.Attempt)
 	begun := f.clock(t.node)
 	t.keepers = d.Keepers
+	t.round++
 	taken, held, answered, isOver := 0, 0, 0, false
 	finish := func() {
 		if isOver {
@@ -886,7 +888,7 @@
 	})
 	for _, m := range members {
 		f.call(t.node, m.Address, &schema.Frame{Body: &schema.Frame_Claim{Claim: &schema.Claim{Attempt: t.query.Attempt, Digest: t.query.Digest, Holder: t.holder, Number: d.Owner.Number,
-			Keepers: d.Keepers.Number, Region: d.Keepers.Region}}}, func(o *schema.Frame) {
+			Keepers: d.Keepers.Number, Region: d.Keepers.Region, Round: t.round}}}, func(o *schema.Frame) {
 			if isOver {
 				return
 			}
@@ -907,7 +909,7 @@
 		return
 	}
 	for _, m := range claim.Match(t.keepers, t.query.Attempt) {
-		f.call(t.node, m.Address, &schema.Frame{Body: &schema.Frame_Claim{Claim: &schema.Claim{Attempt: t.query.Attempt, Holder: t.holder, Keepers: t.keepers.Number, Region: t.keepers.Region, Ended: true}}}, func(*schema.Frame) {})
+		f.call(t.node, m.Address, &schema.Frame{Body: &schema.Frame_Claim{Claim: &schema.Claim{Attempt: t.query.Attempt, Holder: t.holder, Keepers: t.keepers.Number, Region: t.keepers.Region, Round: t.round, Ended: true}}}, func(*schema.Frame) {})
 	}
 	t.claimed, t.keepers = false, nil
 }
