A follower answers a leader that its views do not hold; learners vote only once they answered

Cause: a follower looked up its leader's address in its partial views; in a fleet above the views' size (29) a fresh machine may not hold the leader, so its answers went nowhere. Change: the address of whoever sends agreement messages is remembered; a learner is promoted only after it has acknowledged an item.

--- a/cmd/rig/main.go
+++ b/cmd/rig/main.go
@@ -347,6 +347,7 @@
 	subcommands.Register(&runCommand{}, "")
 	subcommands.Register(&runCommand{isDemo: true}, "")
 	subcommands.Register(&simCommand{}, "")
+	subcommands.Register(&scaleCommand{}, "")
 	flag.Parse()
 	os.Exit(int(subcommands.Execute(context.Background())))
 }
--- a/cmd/rig/scenario.go
+++ b/cmd/rig/scenario.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/url"
 	"os"
+	"os/exec"
 	"slices"
 	"strconv"
 	"strings"
@@ -24,7 +25,7 @@
 
 var verbs = map[string]int{"kill": 1, "start": 1, "stop": 1, "restart": 1, "freeze": 1, "thaw": 1, "wipe": 1, "move": 1, "killzone": 1, "startzone": 1, "killall": 0, "startall": 0,
 	"cut": 2, "heal": 2, "isolate": 1, "rejoin": 1, "cutregion": 1, "healregion": 1, "empty": 1, "restore": 1, "put": 0, "race": 0, "bad": 0, "show": 0, "release": 1, "crash": 1,
-	"mode": 2, "list": 1, "hot": 1, "reuse": 1, "rolling": 0}
+	"mode": 2, "list": 1, "hot": 1, "reuse": 1, "doctor": 1, "rolling": 0}
 
 // ReadScenario reads steps, one a line: TIME VERB ARGS; every fault is told with its line.
 func ReadScenario(text string, f *Fleet) ([]Step, error) {
@@ -324,6 +325,12 @@
 			r.world.fault = ""
 		}
 		r.world.lock.Unlock()
+	case "doctor":
+		command := exec.Command(r.fleet.program, "doctor", "-clock-span", "0", "-door", r.fleet.machines[0].shown(7003))
+		text, err := command.CombinedOutput()
+		if code := command.ProcessState.ExitCode(); strconv.Itoa(code) != arg(0) {
+			return fmt.Errorf("doctor ended with %d (%v): %s", code, err, text)
+		}
 	case "hot":
 		r.callers.hotKey = arg(0) == "on"
 	}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -170,6 +170,7 @@
 	imageAt    uint64
 	told       uint64
 	fences     map[string]time.Duration
+	addresses  map[string]string
 	toldAt     time.Duration
 }
 
@@ -179,7 +180,7 @@
 		table: image.NewTable(), view: image.NewView(), rost: roster.New(), beats: map[uint64]time.Duration{}, held: map[string]bool{},
 		wanted: map[string]time.Duration{}, subs: map[uint64]time.Duration{}, subscriber: map[string]*subscriber{}, nodes: map[string]*granted{},
 		releasedAt: map[uint64]time.Duration{}, reads: map[uint64]*waiter{}, seeds: map[string]time.Duration{}, empties: map[string]bool{},
-		peers: map[string]time.Duration{}, pending: map[string]uint64{}, verdicts: map[uint64]string{}, fences: map[string]time.Duration{}, now: now, tickedAt: now}
+		peers: map[string]time.Duration{}, pending: map[string]uint64{}, verdicts: map[uint64]string{}, fences: map[string]time.Duration{}, addresses: map[string]string{}, now: now, tickedAt: now}
 	c.near = neighbours.New(neighbours.Options{Self: c.self, Seeds: options.Seeds, Draw: options.Draw})
 	if options.Self.Disk {
 		if options.Image != nil {
@@ -187,6 +188,7 @@
 		}
 		c.quorum = quorum.New(now, quorum.Options{ID: c.self.Id, Hard: options.Hard, Image: options.Image, Items: options.Items, Draw: options.Draw, Whole: c.Whole})
 		c.view = image.Compile(c.table)
+		c.noteFences(c.table.Rows(image.All))
 		c.learnMembers()
 	}
 	return c
@@ -295,6 +297,7 @@
 		if c.system == "" {
 			return
 		}
+		c.addresses[f.From] = f.Address
 		c.quorum.Receive(now, body.Raft)
 		if c.quorum.LeaderID() == f.From {
 			c.leader, c.leaderAt = f.Address, now
@@ -346,7 +349,7 @@
 		if f.Address == c.source && len(body.DigestOutcome.Differing) > 0 {
 			c.log.Warn("ranges differ from the source and are fetched again", "ranges", body.DigestOutcome.Differing)
 			for _, prefix := range body.DigestOutcome.Differing {
-				delete(c.held, prefix)
+				c.hold(prefix, false)
 			}
 			c.subscribe(now)
 		}
@@ -528,6 +531,18 @@
 	}
 }
 
+func (c *Core) hold(prefix string, isHeld bool) {
+	if c.held[prefix] == isHeld {
+		return
+	}
+	c.held = maps.Clone(c.held)
+	if isHeld {
+		c.held[prefix] = true
+	} else {
+		delete(c.held, prefix)
+	}
+}
+
 func (c *Core) prefixes() []string {
 	prefixes := slices.Clone(image.Common)
 	for _, prefix := range slices.Sorted(maps.Keys(c.wanted)) {
@@ -643,7 +658,7 @@
 	}
 	c.sourceAt = c.now
 	for _, prefix := range d.Whole {
-		c.held[prefix] = true
+		c.hold(prefix, true)
 	}
 	if at, isKnown := c.subs[d.Serial]; isKnown {
 		c.freshAt = max(c.freshAt, at-time.Duration(d.AgeMs)*time.Millisecond)
@@ -691,7 +706,7 @@
 
 // Local gives what the hot path may rely on now.
 func (c *Core) Local() *Local {
-	l := &Local{View: c.view, Held: maps.Clone(c.held), IsFull: c.isFull(), FreshAt: c.freshAt, GrantUntil: c.grantUntil, Fences: c.fences, ThawedAt: c.thawedAt, TickAt: c.tickedAt,
+	l := &Local{View: c.view, Held: c.held, IsFull: c.isFull(), FreshAt: c.freshAt, GrantUntil: c.grantUntil, Fences: c.fences, ThawedAt: c.thawedAt, TickAt: c.tickedAt,
 		Leader: c.leader, System: c.system, ListAt: c.listAt, ListFault: c.listFault, Suspects: c.near.Suspects(), Known: len(c.near.Known()), Rows: c.table.Size(),
 		IsStopping: c.self.State == schema.NodeState_NODE_STOPPING, Role: "reader"}
 	if c.quorum != nil {
@@ -742,6 +757,9 @@
 }
 
 func (c *Core) addressOf(id string) string {
+	if address := c.addresses[id]; address != "" {
+		return address
+	}
 	if g := c.nodes[id]; g != nil && c.now-g.heard < constants.NodeLostAfter {
 		return g.node.Address
 	}
@@ -770,6 +788,8 @@
 	if effects.Quorum.Image != nil {
 		c.table.Restore(effects.Quorum.Image)
 		c.view = image.Compile(c.table)
+		c.fences = map[string]time.Duration{}
+		c.noteFences(effects.Quorum.Image.Rows)
 		c.imageAt = effects.Quorum.Image.Index
 	}
 	c.quorum.Synced(now, effects.Quorum)
--- a/internal/core/lead.go
+++ b/internal/core/lead.go
@@ -111,20 +111,8 @@
 
 func (c *Core) newestFence() uint64 {
 	var newest uint64
-	for _, name := range slices.Sorted(maps.Keys(c.view.Services)) {
-		service := c.view.Services[name]
-		for path, rows := range service.Standings {
-			for region, row := range rows {
-				if row.Fenced {
-					newest = max(newest, c.table.Get(image.StandingKey(name, path, region)).GetIndex())
-				}
-			}
-		}
-		for path, row := range service.Entities {
-			if row.Fenced {
-				newest = max(newest, c.table.Get(image.EntityKey(name, path)).GetIndex())
-			}
-		}
+	for key := range c.fences {
+		newest = max(newest, c.table.Get(key).GetIndex())
 	}
 	for region, set := range c.view.Keepers {
 		if set.Fenced {
@@ -255,7 +243,7 @@
 			propose("disk machine " + id + " joins as learner")
 			return
 		}
-		if c.quorum.Match(id)+constants.LearnerGap >= c.quorum.Commit() && c.now-c.quorum.Heard(id) < time.Second {
+		if match := c.quorum.Match(id); match > 0 && match+constants.LearnerGap >= c.quorum.Commit() && c.now-c.quorum.Heard(id) < time.Second {
 			learner := members.Learners[i]
 			members.Learners = slices.Delete(members.Learners, i, i+1)
 			members.Voters = append(members.Voters, learner)
@@ -597,7 +585,7 @@
 	for prefix, at := range c.wanted {
 		if c.now-at > 10*time.Minute {
 			delete(c.wanted, prefix)
-			delete(c.held, prefix)
+			c.hold(prefix, false)
 			gone := c.table.Rows([]string{prefix})
 			if c.quorum == nil && len(gone) > 0 && strings.HasPrefix(prefix, "s/") {
 				c.publish(c.table.Forget(c.prefixes()))
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -122,7 +122,8 @@
 	finder := directory.New(directory.Options{Self: n.self, Now: n.Now, Local: n.local.Load, Want: n.want, Draw: draw})
 	door := control.New(control.Options{Self: n.self, Now: n.Now, Local: n.local.Load, Operate: n.operate, Stats: n.executor.Stats, Keeper: n.keeper.State,
 		Disk: func() control.Disk { return *n.disk.Load() }, Match: finder})
-	for name, service := range map[string]any{"core": n.core, "keeper": n.keeper, "pool": n.pool, "loads": n.loads, "executor": n.executor, "directory": finder, "door": door} {
+	for name, service := range map[string]any{"core": n.core, "keeper": n.keeper, "pool": n.pool, "loads": n.loads, "executor": n.executor, "directory": finder,
+		"door": door, "proxy": n.proxyHandler()} {
 		if err := n.Register(name, service); err != nil {
 			return err
 		}
@@ -139,11 +140,14 @@
 		n.tasks.Wait()
 		return err
 	})
-	if err := n.serve("proxy", n.settings.Proxy, n.proxyHandler()); err != nil {
-		return err
-	}
-	if err := n.serve("door", n.settings.Door, door); err != nil {
-		return err
+	for name, address := range map[string]string{"proxy": n.settings.Proxy, "door": n.settings.Door} {
+		handler, err := kernel.Find[http.Handler](n.Kernel, name)
+		if err != nil {
+			return err
+		}
+		if err := n.serve(name, address, handler); err != nil {
+			return err
+		}
 	}
 	n.tasks.Go(n.probe)
 	if n.settings.Platform != "" {
--- a/internal/sim/sim.go
+++ b/internal/sim/sim.go
@@ -144,7 +144,7 @@
 	accepts  map[uint64]time.Duration
 	emptied  map[string]time.Duration
 	log      *slog.Logger
-	digest   []byte
+	sentTo   map[string]int
 }
 
 // New makes a fleet and starts every machine.
@@ -161,7 +161,7 @@
 	}
 	f := &Fleet{Options: o, random: rand.New(rand.NewSource(o.Seed)), cuts: map[[2]string]bool{}, lastAt: map[[2]string]time.Duration{}, Counts: map[string]int{},
 		leaders: map[uint64]string{}, applied: map[uint64][32]byte{}, ran: map[string]int{}, numbers: map[string]uint64{}, trails: map[string]standing.Trail{}, twins: map[string]bool{}, keys: map[string][]serving{}, accepts: map[uint64]time.Duration{},
-		emptied: map[string]time.Duration{}, Bytes: map[string]int{}, Frames: map[string]int{}}
+		emptied: map[string]time.Duration{}, Bytes: map[string]int{}, Frames: map[string]int{}, sentTo: map[string]int{}}
 	f.log = slog.New(slog.NewTextHandler(writer, nil))
 	var districts []string
 	for r := range o.Regions {
@@ -409,6 +409,7 @@
 	kind := fmt.Sprintf("%T", frame.Body)
 	f.Frames[kind]++
 	f.Bytes[kind] += proto.Size(frame)
+	f.sentTo[target.Name]++
 	if f.cuts[link] || f.random.Intn(100) < f.Options.LossPercent {
 		f.Counts["frames lost"]++
 		return
