One rendezvous weight for claims and standings; unused fields taken out

Cause: the same hash stood twice (found by reading the whole change for duplicates); five fields and a function had no user.

--- a/cmd/rig/fleet.go
+++ b/cmd/rig/fleet.go
@@ -46,19 +46,18 @@
 
 // Machine is one machine of the fleet and its process.
 type Machine struct {
-	name     string
-	place    place
-	zone     int
-	number   int
-	hasDisk  bool
-	data     string
-	command  *exec.Cmd
-	exited   chan error
-	boot     int
-	relays   []*Relay
-	isFrozen bool
-	lock     sync.Mutex
-	version  int
+	name    string
+	place   place
+	zone    int
+	number  int
+	hasDisk bool
+	data    string
+	command *exec.Cmd
+	exited  chan error
+	boot    int
+	relays  []*Relay
+	lock    sync.Mutex
+	version int
 }
 
 func (m *Machine) real(port int) string {
--- a/cmd/rig/scenario.go
+++ b/cmd/rig/scenario.go
@@ -249,9 +249,12 @@
 			return fmt.Errorf("%s %s got status %d", s.Verb, arg(0), status)
 		}
 	case "put":
-		if !r.put() && !r.put() {
-			return fmt.Errorf("put was not accepted")
+		for range 2 {
+			if r.put() {
+				return nil
+			}
 		}
+		return fmt.Errorf("put was not accepted")
 	case "race":
 		done := make(chan bool)
 		base := r.base
--- a/cmd/rig/world.go
+++ b/cmd/rig/world.go
@@ -279,17 +279,6 @@
 	w.refresh()
 }
 
-func (w *World) find(instance string) *Backend {
-	w.lock.Lock()
-	defer w.lock.Unlock()
-	for _, b := range w.backends {
-		if b.instance == instance {
-			return b
-		}
-	}
-	return nil
-}
-
 func (w *World) of(service string) []*Backend {
 	w.lock.Lock()
 	defer w.lock.Unlock()
--- a/internal/claim/claim.go
+++ b/internal/claim/claim.go
@@ -4,12 +4,12 @@
 import (
 	"bytes"
 	"cmp"
-	"hash/fnv"
 	"slices"
 	"sync"
 	"time"
 
 	"topazshed/internal/constants"
+	"topazshed/internal/image"
 	"topazshed/internal/schema"
 )
 
@@ -55,24 +55,11 @@
 	return k
 }
 
-func hash(parts ...string) uint64 {
-	sum := fnv.New64a()
-	for _, part := range parts {
-		sum.Write([]byte(part))
-		sum.Write([]byte{0})
-	}
-	x := sum.Sum64()
-	x ^= x >> 33
-	x *= 0xff51afd7ed558ccd
-	x ^= x >> 33
-	return x
-}
-
 // Match chooses the keepers of an attempt id by rendezvous, never all in one district where there are two.
 func Match(set *schema.Keepers, attempt string) []*schema.Member {
 	members := slices.Clone(set.Members)
 	slices.SortFunc(members, func(a, b *schema.Member) int {
-		return cmp.Compare(hash(b.Id, attempt), hash(a.Id, attempt))
+		return cmp.Compare(image.Weigh(b.Id, attempt), image.Weigh(a.Id, attempt))
 	})
 	count := min(len(members), constants.ClaimReplicas)
 	if count < constants.ClaimReplicas {
@@ -184,7 +171,7 @@
 		return
 	}
 	for _, c := range outcome.Claims {
-		s := &k.shards[hash(c.Attempt)%shards]
+		s := &k.shards[image.Weigh(c.Attempt)%shards]
 		s.lock.Lock()
 		if s.claims[c.Attempt] == nil {
 			s.claims[c.Attempt] = &held{c.Digest, c.Holder, c.Number, c.Round, now + time.Duration(c.LeftMs)*time.Millisecond}
@@ -234,7 +221,7 @@
 			return outcome
 		}
 	}
-	s := &k.shards[hash(c.Attempt)%shards]
+	s := &k.shards[image.Weigh(c.Attempt)%shards]
 	s.lock.Lock()
 	defer s.lock.Unlock()
 	if now-s.swept > constants.ClaimWindow {
@@ -261,7 +248,7 @@
 }
 
 func (k *Keeper) end(c *schema.Claim) {
-	s := &k.shards[hash(c.Attempt)%shards]
+	s := &k.shards[image.Weigh(c.Attempt)%shards]
 	s.lock.Lock()
 	defer s.lock.Unlock()
 	if h := s.claims[c.Attempt]; h != nil && h.holder == c.Holder && c.Round >= h.round {
--- a/internal/constants/constants.go
+++ b/internal/constants/constants.go
@@ -97,8 +97,6 @@
 	ClaimKept = 2 * ClaimWindow
 	// ClaimReplicas (keepers) hold one claim.
 	ClaimReplicas = 3
-	// ClaimMajority (keepers) must say yes.
-	ClaimMajority = 2
 	// ClaimWait (time) bounds one claim round: keepers are 1 ms away, the rest is for a busy machine.
 	ClaimWait = 400 * time.Millisecond
 	// ClaimCopyEvery (time) is how often a new keeper asks the former ones.
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -88,7 +88,6 @@
 	term   uint64
 	until  time.Duration
 	query  *schema.OperatorQuery
-	isRead bool
 	isSent bool
 }
 
@@ -164,7 +163,6 @@
 	isKeeping  bool
 	floor      uint64
 	peers      map[string]time.Duration
-	memberAt   time.Duration
 	pending    map[string]uint64
 	verdicts   map[uint64]string
 	imageAt    uint64
@@ -544,11 +542,7 @@
 }
 
 func (c *Core) prefixes() []string {
-	prefixes := slices.Clone(image.Common)
-	for _, prefix := range slices.Sorted(maps.Keys(c.wanted)) {
-		prefixes = append(prefixes, prefix)
-	}
-	return prefixes
+	return slices.Concat(image.Common, slices.Sorted(maps.Keys(c.wanted)))
 }
 
 func (c *Core) subscribe(now time.Duration) {
--- a/internal/image/view.go
+++ b/internal/image/view.go
@@ -1,6 +1,7 @@
 package image
 
 import (
+	"hash/fnv"
 	"maps"
 	"sort"
 	"strings"
@@ -144,3 +145,17 @@
 
 // Compile makes a view of a whole table.
 func Compile(table *Table) *View { return NewView().With(table, table.Rows(All)) }
+
+// Weigh is the rendezvous weight of some names, the same on every node.
+func Weigh(parts ...string) uint64 {
+	sum := fnv.New64a()
+	for _, part := range parts {
+		sum.Write([]byte(part))
+		sum.Write([]byte{0})
+	}
+	x := sum.Sum64()
+	x ^= x >> 33
+	x *= 0xff51afd7ed558ccd
+	x ^= x >> 33
+	return x
+}
--- a/internal/neighbours/neighbours.go
+++ b/internal/neighbours/neighbours.go
@@ -27,7 +27,6 @@
 	node     *schema.Node
 	heard    time.Duration
 	probedAt time.Duration
-	serial   uint64
 	since    time.Duration
 }
 
--- a/internal/sim/sim.go
+++ b/internal/sim/sim.go
@@ -66,7 +66,6 @@
 	lastSeen  uint64
 	lastHead  uint64
 	syncPause time.Duration
-	inbox     []func()
 	random    *rand.Rand
 }
 
--- a/internal/standing/standing.go
+++ b/internal/standing/standing.go
@@ -3,7 +3,6 @@
 
 import (
 	"fmt"
-	"hash/fnv"
 	"slices"
 	"strconv"
 	"strings"
@@ -241,19 +240,6 @@
 	return homes
 }
 
-func weigh(parts ...string) uint64 {
-	sum := fnv.New64a()
-	for _, part := range parts {
-		sum.Write([]byte(part))
-		sum.Write([]byte{0})
-	}
-	x := sum.Sum64()
-	x ^= x >> 33
-	x *= 0xff51afd7ed558ccd
-	x ^= x >> 33
-	return x
-}
-
 // Usable tells which districts of a region could be an entry's active group, best first.
 func Usable(view *image.View, entry *schema.Entry, region string) []string {
 	service := view.Services[entry.Service]
@@ -292,7 +278,7 @@
 			}
 			return 1
 		}
-		if weigh(entry.Service, entry.Path, a) > weigh(entry.Service, entry.Path, b) {
+		if image.Weigh(entry.Service, entry.Path, a) > image.Weigh(entry.Service, entry.Path, b) {
 			return -1
 		}
 		return 1
@@ -379,7 +365,7 @@
 				}
 			}
 		} else if len(alive) > 0 {
-			next := alive[int(weigh(entry.Service, entry.Path, region)%uint64(len(alive)))]
+			next := alive[int(image.Weigh(entry.Service, entry.Path, region)%uint64(len(alive)))]
 			target, residue, isFar = next, view.Regions[next].Residue, true
 			reason = "no usable group in region " + region + "; taken over by region " + next
 			if row != nil {
@@ -435,7 +421,7 @@
 		}
 		return
 	}
-	next := options[int(weigh(entry.Service, entry.Path)%uint64(len(options)))]
+	next := options[int(image.Weigh(entry.Service, entry.Path)%uint64(len(options)))]
 	reason := "first region of the entry"
 	if row != nil {
 		reason = "region " + current + " has no usable group"
