--- a/cmd/rig/scenario.go
+++ b/cmd/rig/scenario.go
@@ -60,7 +60,7 @@
 		}
 		if slices.Contains([]string{"kill", "start", "stop", "restart", "freeze", "thaw", "wipe", "move", "isolate", "rejoin", "cut", "heal"}, words[1]) {
 			for _, name := range words[2:] {
-				if f != nil && f.find(name) == nil {
+				if f != nil && name != "leader" && f.find(name) == nil {
 					add("machine %q is unknown; names are like north-a-1", name)
 				}
 			}
@@ -85,6 +85,7 @@
 	dep     Deployment
 	base    uint64
 	extra   int
+	leader  *Machine
 }
 
 func (r *Runner) operator(what, method, path string, query url.Values, body []byte, entries []EntrySeen, district string) (int, uint64) {
@@ -189,28 +190,45 @@
 	return list
 }
 
+func (r *Runner) machine(verb, name string) *Machine {
+	if name != "leader" {
+		return r.fleet.find(name)
+	}
+	if verb == "thaw" || verb == "start" {
+		return r.leader
+	}
+	for _, m := range r.fleet.machines {
+		var told struct{ Role string }
+		if _, _, text, err := r.fleet.door(m, http.MethodGet, "/v1/status", nil, nil); err == nil && json.Unmarshal(text, &told) == nil && told.Role == "leader" {
+			r.leader = m
+		}
+	}
+	return r.leader
+}
+
 // Do carries out one step.
 func (r *Runner) Do(s Step) error {
 	arg := func(i int) string { return s.Args[i] }
 	switch s.Verb {
 	case "kill":
-		r.fleet.kill(r.fleet.find(arg(0)))
+		r.fleet.kill(r.machine(s.Verb, arg(0)))
 	case "start":
-		return r.fleet.start(r.fleet.find(arg(0)))
+		return r.fleet.start(r.machine(s.Verb, arg(0)))
 	case "stop":
-		return r.fleet.stop(r.fleet.find(arg(0)))
+		return r.fleet.stop(r.machine(s.Verb, arg(0)))
 	case "restart":
-		return errors.Join(r.fleet.stop(r.fleet.find(arg(0))), r.fleet.start(r.fleet.find(arg(0))))
+		m := r.machine(s.Verb, arg(0))
+		return errors.Join(r.fleet.stop(m), r.fleet.start(m))
 	case "freeze":
-		return r.fleet.signal(r.fleet.find(arg(0)), syscall.SIGSTOP)
+		return r.fleet.signal(r.machine(s.Verb, arg(0)), syscall.SIGSTOP)
 	case "thaw":
-		return r.fleet.signal(r.fleet.find(arg(0)), syscall.SIGCONT)
+		return r.fleet.signal(r.machine(s.Verb, arg(0)), syscall.SIGCONT)
 	case "wipe":
-		m := r.fleet.find(arg(0))
+		m := r.machine(s.Verb, arg(0))
 		r.fleet.kill(m)
 		return os.RemoveAll(m.data)
 	case "move":
-		m := r.fleet.find(arg(0))
+		m := r.machine(s.Verb, arg(0))
 		r.fleet.kill(m)
 		if err := os.RemoveAll(m.data); err != nil {
 			return err
--- /dev/null
+++ b/internal/control/control_test.go
@@ -0,0 +1,88 @@
+package control
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"topazshed/internal/constants"
+	"topazshed/internal/core"
+	"topazshed/internal/image"
+	"topazshed/internal/schema"
+)
+
+func door(outcome *schema.OperatorOutcome, fault error, seen *schema.OperatorQuery) http.Handler {
+	table := image.NewTable()
+	table.Apply(9, &schema.Record{Kind: schema.RecordKind_RECORD_ROWS, Rows: []*schema.Row{
+		image.Put(image.RegionKey("north"), &schema.Region{Name: "north", Residue: 1}),
+		image.Put(image.DistrictKey("north-b"), &schema.District{Name: "north-b", Region: "north", Residue: 2}),
+		image.Put(image.EntryKey("ledger", "/b"), &schema.Entry{Service: "ledger", Path: "/b", Methods: []string{"GET"}, SafeMethods: []string{"GET"}}),
+		image.Put(image.StandingKey("ledger", "/b", "north"), &schema.Standing{Service: "ledger", Path: "/b", Region: "north", Number: 202, Reason: "all proxies of district north-a are lost or stopping"}),
+	}}, nil)
+	view := image.Compile(table)
+	return New(Options{Self: &schema.Node{Id: "n1"}, Now: func() time.Duration { return time.Hour }, Local: func() *core.Local { return &core.Local{View: view, FreshAt: time.Hour, TickAt: time.Hour} },
+		Operate: func(_ context.Context, q *schema.OperatorQuery) (*schema.OperatorOutcome, error) {
+			if seen != nil {
+				*seen = schema.OperatorQuery{Kind: q.Kind, Base: q.Base, Key: q.Key, District: q.District, Reason: q.Reason}
+			}
+			return outcome, fault
+		},
+		Stats: func() map[string]uint64 { return nil }, Keeper: func() (uint64, bool, bool, int) { return 1, true, true, 0 }, Disk: func() Disk { return Disk{} }, Match: http.NotFoundHandler()})
+}
+
+func TestDoor(t *testing.T) {
+	for _, c := range []struct {
+		name, method, path, body string
+		outcome                  *schema.OperatorOutcome
+		fault                    error
+		status                   int
+		want                     string
+	}{
+		{"a put is accepted", "PUT", "/v1/configuration?base=4", "{}", &schema.OperatorOutcome{Version: 5}, nil, 200, `"version":5`},
+		{"without a base", "PUT", "/v1/configuration", "{}", nil, nil, 400, "?base=N"},
+		{"oversize", "PUT", "/v1/configuration?base=0", strings.Repeat(" ", constants.DocumentLimit+1), nil, nil, 413, "oversize"},
+		{"a lost race names the newest version", "PUT", "/v1/configuration?base=4", "{}", &schema.OperatorOutcome{Decline: schema.DeclineKind_DECLINE_CONFLICT, Version: 7, Message: "m"}, nil, 409, `"version":7`},
+		{"every fault has its path", "PUT", "/v1/configuration?base=4", "{}", &schema.OperatorOutcome{Decline: schema.DeclineKind_DECLINE_INVALID, Faults: []*schema.Fault{{Path: "entries[0].path", Message: "p"}, {Path: "entries[1].service", Message: "s"}}}, nil, 422, "entries[1].service"},
+		{"no leader", "GET", "/v1/configuration", "", &schema.OperatorOutcome{Decline: schema.DeclineKind_DECLINE_NO_LEADER}, nil, 503, "no_leader"},
+		{"a lost answer is doubtful", "PUT", "/v1/configuration?base=4", "{}", nil, errors.New("timed out"), 504, "doubtful"},
+		{"an unknown district", "POST", "/v1/districts/moon/empty", "", &schema.OperatorOutcome{Decline: schema.DeclineKind_DECLINE_UNKNOWN}, nil, 404, "unknown"},
+		{"the empty configuration", "GET", "/v1/configuration", "", &schema.OperatorOutcome{}, nil, 200, `{"entries":[]}`},
+		{"the document as it was put", "GET", "/v1/configuration", "", &schema.OperatorOutcome{Version: 3, Document: []byte(`{"entries": [ ]}`)}, nil, 200, `{"entries": [ ]}`},
+		{"an unknown call", "GET", "/v2/everything", "", nil, nil, 404, "docs/operators.md"},
+		{"status tells why a standing is what it is", "GET", "/v1/status", "", nil, nil, 200, `"active":"north-b","number":202,"fenced":false,"reason":"all proxies of district north-a are lost or stopping"`},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			w := httptest.NewRecorder()
+			door(c.outcome, c.fault, nil).ServeHTTP(w, httptest.NewRequest(c.method, c.path, strings.NewReader(c.body)))
+			if w.Code != c.status || !strings.Contains(w.Body.String(), c.want) {
+				t.Fatalf("status %d, body %s", w.Code, w.Body)
+			}
+			if w.Code == 503 && w.Header().Get("Retry-After") == "" {
+				t.Error("no Retry-After")
+			}
+			if !json.Valid(w.Body.Bytes()) {
+				t.Errorf("no JSON: %s", w.Body)
+			}
+		})
+	}
+}
+
+func TestDoorPassesOnWhatWasAsked(t *testing.T) {
+	var seen schema.OperatorQuery
+	handler := door(&schema.OperatorOutcome{}, nil, &seen)
+	handler.ServeHTTP(httptest.NewRecorder(), httptest.NewRequest("POST", "/v1/districts/north-b/restore?reason=mended", nil))
+	if seen.Kind != schema.OperatorKind_OPERATOR_RESTORE || seen.District != "north-b" || seen.Reason != "mended" {
+		t.Errorf("restore became %v", &seen)
+	}
+	r := httptest.NewRequest("PUT", "/v1/configuration?base=6", strings.NewReader("{}"))
+	r.Header.Set("Topazshed-Operator-Key", "k7")
+	handler.ServeHTTP(httptest.NewRecorder(), r)
+	if seen.Kind != schema.OperatorKind_OPERATOR_PUT || seen.Base != 6 || seen.Key != "k7" {
+		t.Errorf("put became %v", &seen)
+	}
+}
--- /dev/null
+++ b/internal/directory/directory_test.go
@@ -0,0 +1,70 @@
+package directory
+
+import (
+	"testing"
+	"time"
+
+	"topazshed/internal/constants"
+	"topazshed/internal/core"
+	"topazshed/internal/image"
+	"topazshed/internal/schema"
+)
+
+func TestDecide(t *testing.T) {
+	table := image.NewTable()
+	rows := []*schema.Row{
+		image.Put(image.RegionKey("north"), &schema.Region{Name: "north", Residue: 1}), image.Put(image.RegionKey("south"), &schema.Region{Name: "south", Residue: 3}),
+		image.Put(image.DistrictKey("north-a"), &schema.District{Name: "north-a", Region: "north"}), image.Put(image.DistrictKey("south-a"), &schema.District{Name: "south-a", Region: "south", Residue: 2}),
+		image.Put(image.EntryKey("ledger", "/b"), &schema.Entry{Service: "ledger", Path: "/b", Methods: []string{"GET"}, SafeMethods: []string{"GET"}}),
+		image.Put(image.EntryKey("ledger", "/home"), &schema.Entry{Service: "ledger", Path: "/home", Methods: []string{"GET"}, SafeMethods: []string{"GET"}, HomeRegions: []string{"south"}}),
+		image.Put(image.EntryKey("ledger", "/pay"), &schema.Entry{Service: "ledger", Path: "/pay", Methods: []string{"POST"}}),
+		image.Put(image.EntryKey("ledger", "/new"), &schema.Entry{Service: "ledger", Path: "/new", Methods: []string{"GET"}, SafeMethods: []string{"GET"}}),
+		image.Put(image.EntityKey("ledger", "/pay"), &schema.Entity{Service: "ledger", Path: "/pay", Region: "south", Number: 103}),
+	}
+	for _, path := range []string{"/b", "/home", "/pay"} {
+		rows = append(rows, image.Put(image.StandingKey("ledger", path, "south"), &schema.Standing{Service: "ledger", Path: path, Region: "south", Number: 102}),
+			image.Put(image.StandingKey("ledger", path, "north"), &schema.Standing{Service: "ledger", Path: path, Region: "north", Number: 100}))
+	}
+	for id, state := range map[string]schema.NodeState{"n1": schema.NodeState_NODE_READY, "n2": schema.NodeState_NODE_STOPPING, "n3": schema.NodeState_NODE_LOST} {
+		rows = append(rows, image.Put(image.NodeKey(id), &schema.Node{Id: id, District: "north-a", Region: "north", Proxy: id, State: state}),
+			image.Put(image.NodeKey("s"+id), &schema.Node{Id: "s" + id, District: "south-a", Region: "south", Proxy: "s" + id, State: state}))
+	}
+	if _, err := table.Apply(1, &schema.Record{Kind: schema.RecordKind_RECORD_ROWS, Rows: rows}, nil); err != nil {
+		t.Fatal(err)
+	}
+	local := &core.Local{View: image.Compile(table), IsFull: true, FreshAt: time.Hour, TickAt: time.Hour}
+	for _, c := range []struct {
+		name, region, service, path string
+		parked                      time.Duration
+		proxies, origin, kind       string
+	}{
+		{"a caller's own region", "north", "ledger", "/b/1", 0, "n1", "region=north", ""},
+		{"another caller's", "south", "ledger", "/b/1", 0, "sn1", "region=south", ""},
+		{"a caller from outside the home regions is sent home", "north", "ledger", "/home", 0, "sn1", "region=south", ""},
+		{"unsafe work has one region for all", "north", "ledger", "/pay", 0, "sn1", "entry=ledger/pay", ""},
+		{"an unknown entry", "north", "ledger", "/secret", 0, "", "", "unknown-entry"},
+		{"an unknown service", "north", "nobody", "/", 0, "", "", "unknown-entry"},
+		{"no standing yet waits", "north", "ledger", "/new", 0, "", "", ""},
+		{"and then is told to come back", "north", "ledger", "/new", constants.ParkMost, "", "", "no-standing"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			match, fault, _ := Decide(time.Hour, local, c.region, c.service, c.path, c.parked, func(int64) int64 { return 0 })
+			proxies, origin, kind := "", "", ""
+			if match != nil {
+				origin = match.Origin
+				for _, p := range match.Proxies {
+					proxies += p.Address
+				}
+				if match.LiveMilli != constants.MatchLife.Milliseconds() {
+					t.Errorf("lives %d ms", match.LiveMilli)
+				}
+			}
+			if fault != nil {
+				kind = fault.Kind
+			}
+			if proxies != c.proxies || origin != c.origin || kind != c.kind {
+				t.Fatalf("got %q %q %q, want %q %q %q", proxies, origin, kind, c.proxies, c.origin, c.kind)
+			}
+		})
+	}
+}
