--- a/internal/sim/sim_test.go
+++ b/internal/sim/sim_test.go
@@ -101,3 +101,30 @@
 		verify(t, f)
 	}
 }
+
+func TestWipedSeedsFoundNoSecondSystem(t *testing.T) {
+	for seed := int64(1); seed <= 3; seed++ {
+		f := begin(t, Options{Seed: seed})
+		f.RunFor(5 * time.Second)
+		var wiped []*Node
+		for _, address := range f.seeds() {
+			n := f.Node(address)
+			f.Kill(n)
+			f.Wipe(n)
+			wiped = append(wiped, n)
+		}
+		f.RunFor(300 * time.Millisecond)
+		for _, n := range wiped {
+			f.Start(n)
+		}
+		f.RunFor(10 * time.Second)
+		systems := map[string]bool{}
+		for _, n := range f.Nodes {
+			systems[n.core.Local().System] = true
+		}
+		if len(systems) != 1 {
+			t.Errorf("seed %d: systems %v", seed, systems)
+		}
+		verify(t, f)
+	}
+}
