Repeated forwards take from the repeat budget like repeated legs

Cause: a safe query whose forward broke off was forwarded up to three times whatever the budget said, and the receiving proxies counted each as a first leg; found by reading the whole change. A dying group would have tripled its traffic. Ruled out: legs of the own group, which were counted. Also: a claim's goroutines take their round by value.

--- a/internal/proxy/executor.go
+++ b/internal/proxy/executor.go
@@ -167,12 +167,15 @@
 			}
 			parkedAt = first(parkedAt, now)
 		case TurnForward:
+			if forwards == 0 {
+				x.options.Loads.First(now, q.Service)
+			}
 			outcome, fault, isSure := x.forward(ctx, q, d, until)
 			if fault == nil {
 				return outcome, nil
 			}
 			forwards++
-			if !isSure || forwards >= 3 {
+			if !isSure || forwards >= 3 || fault.Outcome == OutcomeDoubtful && !x.options.Loads.Repeat(x.options.Now(), q.Service, x.sharers(d)) {
 				return nil, fault
 			}
 			l.lastFault = fault.Message
@@ -268,10 +271,11 @@
 	answers := make(chan answer, len(members))
 	l.keepers, l.held = d.Keepers, members
 	l.round++
+	round := l.round
 	for _, m := range members {
 		go func() {
 			f, err := x.options.Call(callCtx, m.Address, &schema.Frame{Body: &schema.Frame_Claim{Claim: &schema.Claim{Attempt: q.Attempt, Digest: q.Digest, Holder: l.holder,
-				Number: d.Owner.Number, Keepers: d.Keepers.Number, Region: d.Keepers.Region, Round: l.round, WaitMs: uint32(q.Wait.Milliseconds())}}})
+				Number: d.Owner.Number, Keepers: d.Keepers.Number, Region: d.Keepers.Region, Round: round, WaitMs: uint32(q.Wait.Milliseconds())}}})
 			if err != nil {
 				answers <- answer{m, &schema.ClaimOutcome{}}
 				return
@@ -338,10 +342,11 @@
 	if d.IsSafe {
 		limit = min(limit, x.options.Now()+constants.SafeLegMost)
 	}
-	if l.legs == 0 {
-		x.options.Loads.First(x.options.Now(), b.Service)
-	} else {
+	switch {
+	case l.legs > 0:
 		x.stats[3].Add(1)
+	case len(q.Forwarded) == 0:
+		x.options.Loads.First(x.options.Now(), b.Service)
 	}
 	l.legs++
 	outcome, isTouched, isClean, err := x.exchange(conn, q, d, limit-x.options.Now())
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -376,3 +376,29 @@
 		t.Errorf("the final answer was held back for %v", took)
 	}
 }
+
+func TestForwardsObeyTheRepeatBudget(t *testing.T) {
+	broken := &stand{mode: "lost", identity: Identity{"topazshed", "nnorth-b"}}
+	server := httptest.NewServer(broken)
+	defer server.Close()
+	x := executor(t)
+	w := base()
+	w.put("", image.Put(image.NodeKey("nnorth-b"), &schema.Node{Id: "nnorth-b", District: "north-b", Region: "north", Proxy: strings.TrimPrefix(server.URL, "http://"), State: schema.NodeState_NODE_READY}))
+	w.put("", image.Put(image.StandingKey("ledger", "/balances", "north"), &schema.Standing{Service: "ledger", Path: "/balances", Region: "north", Number: 102}))
+	view, now := w.view(), x.options.Now
+	x.options.Local = func() *core.Local {
+		l := fresh(view)
+		l.FreshAt, l.TickAt, l.PeersAt, l.GrantUntil = now(), now(), now(), now()+time.Second
+		return l
+	}
+	x.options.Loads = NewLoads(now)
+	const calls = 20
+	for range calls {
+		if got := send(x, "GET", "/ledger/balances/1", "region=north", nil); got.Header().Get(HeaderOutcome) != OutcomeDoubtful {
+			t.Fatalf("outcome %q: %s", got.Header().Get(HeaderOutcome), got.Body)
+		}
+	}
+	if most := int64(calls + calls*constants.RepeatShare/100 + constants.RepeatAllowance); broken.runs.Load() < calls || broken.runs.Load() > most {
+		t.Errorf("%d forwards of %d queries, at most %d fit the budget", broken.runs.Load(), calls, most)
+	}
+}
