A claim window of 6 s brings payments back within 15 s of a whole fleet's end

Ruled out: a shorter grant, which would lapse in an ordinary change of leader (about 3 s at worst for a reader that must find the new one). Change: ClaimWindow 6 s; an attempt id of an unsafe query is good for 6 s, and its wait is cut to 6 s.

--- a/internal/constants/constants.go
+++ b/internal/constants/constants.go
@@ -92,7 +92,7 @@
 	VitalsFails = 2
 
 	// ClaimWindow (time) is how long an attempt id is good for after its first sending, and the longest wait of an unsafe query; documented to callers.
-	ClaimWindow = 7 * time.Second
+	ClaimWindow = 6 * time.Second
 	// ClaimKept (time) is how long a keeper remembers a claim: two windows.
 	ClaimKept = 2 * ClaimWindow
 	// ClaimReplicas (keepers) hold one claim.
