--- a/cmd/rig/main.go
+++ b/cmd/rig/main.go
@@ -348,6 +348,7 @@
 	subcommands.Register(&runCommand{isDemo: true}, "")
 	subcommands.Register(&simCommand{}, "")
 	subcommands.Register(&scaleCommand{}, "")
+	subcommands.Register(&failoverCommand{}, "")
 	flag.Parse()
 	os.Exit(int(subcommands.Execute(context.Background())))
 }
