SIGHUP reloads the settings instead of ending the process

Change: the settings file is read and checked again; the log level is taken, other changes are named and need a restart, faults change nothing.

--- a/cmd/rig/scenario.go
+++ b/cmd/rig/scenario.go
@@ -23,7 +23,7 @@
 	Args []string
 }
 
-var verbs = map[string]int{"kill": 1, "start": 1, "stop": 1, "restart": 1, "freeze": 1, "thaw": 1, "wipe": 1, "move": 1, "killzone": 1, "startzone": 1, "killall": 0, "startall": 0,
+var verbs = map[string]int{"kill": 1, "reload": 1, "start": 1, "stop": 1, "restart": 1, "freeze": 1, "thaw": 1, "wipe": 1, "move": 1, "killzone": 1, "startzone": 1, "killall": 0, "startall": 0,
 	"cut": 2, "heal": 2, "isolate": 1, "rejoin": 1, "cutregion": 1, "healregion": 1, "empty": 1, "restore": 1, "put": 0, "race": 0, "bad": 0, "show": 0, "release": 1, "crash": 1,
 	"mode": 2, "list": 1, "hot": 1, "reuse": 1, "doctor": 1, "rolling": 0}
 
@@ -58,7 +58,7 @@
 			add("step %q takes %d words, not %d", words[1], count, len(words)-2)
 			continue
 		}
-		if slices.Contains([]string{"kill", "start", "stop", "restart", "freeze", "thaw", "wipe", "move", "isolate", "rejoin", "cut", "heal"}, words[1]) {
+		if slices.Contains([]string{"kill", "reload", "start", "stop", "restart", "freeze", "thaw", "wipe", "move", "isolate", "rejoin", "cut", "heal"}, words[1]) {
 			for _, name := range words[2:] {
 				if f != nil && name != "leader" && f.find(name) == nil {
 					add("machine %q is unknown; names are like north-a-1", name)
@@ -212,6 +212,8 @@
 	switch s.Verb {
 	case "kill":
 		r.fleet.kill(r.machine(s.Verb, arg(0)))
+	case "reload":
+		return r.fleet.signal(r.machine(s.Verb, arg(0)), syscall.SIGHUP)
 	case "start":
 		return r.fleet.start(r.machine(s.Verb, arg(0)))
 	case "stop":
--- a/cmd/topazshed/commands.go
+++ b/cmd/topazshed/commands.go
@@ -13,6 +13,7 @@
 	"net/url"
 	"os"
 	"os/signal"
+	"reflect"
 	"strconv"
 	"syscall"
 	"time"
@@ -48,7 +49,7 @@
 		}
 		return subcommands.ExitUsageError
 	}
-	var level slog.Level
+	level := &slog.LevelVar{}
 	if err := level.UnmarshalText([]byte(s.LogLevel)); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return subcommands.ExitUsageError
@@ -56,6 +57,20 @@
 	log := slog.New(slog.NewJSONHandler(os.Stderr, &slog.HandlerOptions{Level: level}))
 	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer cancel()
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
+	go func() {
+		for {
+			select {
+			case <-hangups:
+				fresh, err := c.read()
+				reload(s, fresh, err, level, log)
+			case <-ctx.Done():
+				return
+			}
+		}
+	}()
 	n, err := node.Start(s, log)
 	if err != nil {
 		log.Error("did not start", "reason", err.Error())
@@ -68,6 +83,23 @@
 	return subcommands.ExitSuccess
 }
 
+func reload(running, fresh *settings.Settings, err error, level *slog.LevelVar, log *slog.Logger) {
+	if err != nil {
+		log.Error("settings were not reloaded; mend every fault and send the signal again", "faults", err.Error())
+		return
+	}
+	kept := *fresh
+	kept.LogLevel = running.LogLevel
+	if !reflect.DeepEqual(&kept, running) {
+		log.Warn("only the log level is taken on reload; stop and start the process for the rest")
+	}
+	if err := level.UnmarshalText([]byte(fresh.LogLevel)); err != nil {
+		log.Error("settings were not reloaded", "faults", err.Error())
+		return
+	}
+	log.Info("settings reloaded", "log_level", fresh.LogLevel)
+}
+
 type doorFlag struct{ door string }
 
 func (d *doorFlag) SetFlags(flags *flag.FlagSet) {
