--- a/internal/sim/scenarios.go
+++ b/internal/sim/scenarios.go
@@ -299,6 +299,22 @@
 		}
 		return f.settled()
 	}},
+	{"bad-list", "the platform's list is empty, short, repeated, lacks pages, or is an old small one", Options{}, func(f *Fleet) error {
+		before := len(f.View(f.Leader()).Services["service0"].Backends)
+		for _, fault := range []string{"empty", "short", "repeated", "missing", "stale"} {
+			f.listFault = fault
+			f.RunFor(4 * time.Second)
+			leader := f.Leader()
+			if leader == nil {
+				return fmt.Errorf("no leader at %v", f.Now)
+			}
+			if after := len(f.View(leader).Services["service0"].Backends); after != before {
+				return fmt.Errorf("a list that is %s left %d of %d back ends", fault, after, before)
+			}
+		}
+		f.listFault = ""
+		return f.settled()
+	}},
 	{"chaos", "everything at once, then a last heavy blow", Options{LossPercent: 1, JitterMillis: 5, ClockError: 0.02}, func(f *Fleet) error {
 		for range 12 {
 			n := f.pick(func(n *Node) bool { return true })
--- a/internal/sim/sim.go
+++ b/internal/sim/sim.go
@@ -117,33 +117,34 @@
 
 // Fleet is the simulated system and its checker.
 type Fleet struct {
-	Options  Options
-	Now      time.Duration
-	Nodes    []*Node
-	Backends []*Backend
-	Runs     []Run
-	Breaches []string
-	Counts   map[string]int
-	Effect   []time.Duration
-	Bytes    map[string]int
-	Frames   map[string]int
-	queue    events
-	order    uint64
-	random   *rand.Rand
-	cuts     map[[2]string]bool
-	lastAt   map[[2]string]time.Duration
-	leaders  map[uint64]string
-	applied  map[uint64][32]byte
-	ran      map[string]int
-	numbers  map[string]uint64
-	trails   map[string]standing.Trail
-	twins    map[string]bool
-	keys     map[string][]serving
-	accepted uint64
-	accepts  map[uint64]time.Duration
-	emptied  map[string]time.Duration
-	log      *slog.Logger
-	sentTo   map[string]int
+	Options   Options
+	Now       time.Duration
+	Nodes     []*Node
+	Backends  []*Backend
+	Runs      []Run
+	Breaches  []string
+	Counts    map[string]int
+	Effect    []time.Duration
+	Bytes     map[string]int
+	Frames    map[string]int
+	queue     events
+	order     uint64
+	random    *rand.Rand
+	cuts      map[[2]string]bool
+	lastAt    map[[2]string]time.Duration
+	leaders   map[uint64]string
+	applied   map[uint64][32]byte
+	ran       map[string]int
+	numbers   map[string]uint64
+	trails    map[string]standing.Trail
+	twins     map[string]bool
+	keys      map[string][]serving
+	accepted  uint64
+	accepts   map[uint64]time.Duration
+	emptied   map[string]time.Duration
+	log       *slog.Logger
+	sentTo    map[string]int
+	listFault string
 }
 
 // New makes a fleet and starts every machine.
@@ -378,7 +379,21 @@
 				}
 			}
 			page.Total = len(page.Backends)
-			n.core.SetSweep(f.clock(n), roster.Join([]roster.Page{page}))
+			pages := []roster.Page{page}
+			switch f.listFault {
+			case "empty":
+				pages[0].Backends, pages[0].Total = nil, 0
+			case "short":
+				pages[0].Backends = page.Backends[:len(page.Backends)/2]
+			case "repeated":
+				pages = append(pages, page)
+			case "missing":
+				pages[0].Pages = 2
+			case "stale":
+				pages[0].Backends = page.Backends[:len(page.Backends)/4]
+				pages[0].Total = len(pages[0].Backends)
+			}
+			n.core.SetSweep(f.clock(n), roster.Join(pages))
 		}
 		f.after(constants.RosterEvery, func() { f.list(n, boot) })
 	})
