--- a/internal/sim/scenarios.go
+++ b/internal/sim/scenarios.go
@@ -300,7 +300,14 @@
 		return f.settled()
 	}},
 	{"bad-list", "the platform's list is empty, short, repeated, lacks pages, or is an old small one", Options{}, func(f *Fleet) error {
-		before := len(f.View(f.Leader()).Services["service0"].Backends)
+		count := func(n *Node) int {
+			total := 0
+			for _, service := range f.View(n).Services {
+				total += len(service.Backends)
+			}
+			return total
+		}
+		before := count(f.Leader())
 		for _, fault := range []string{"empty", "short", "repeated", "missing", "stale"} {
 			f.listFault = fault
 			f.RunFor(4 * time.Second)
@@ -308,7 +315,7 @@
 			if leader == nil {
 				return fmt.Errorf("no leader at %v", f.Now)
 			}
-			if after := len(f.View(leader).Services["service0"].Backends); after != before {
+			if after := count(leader); after != before {
 				return fmt.Errorf("a list that is %s left %d of %d back ends", fault, after, before)
 			}
 		}
