--- a/internal/core/lead.go
+++ b/internal/core/lead.go
@@ -73,13 +73,17 @@
 	return true
 }
 
+func (c *Core) lapse(g *granted) time.Duration {
+	at := c.electedAt + constants.GrantTime + constants.GrantMargin
+	if g != nil {
+		at = max(at, g.until)
+	}
+	return at
+}
+
 func (c *Core) released(index uint64) (bool, uint64) {
 	for id := range c.view.Nodes {
-		if g := c.nodes[id]; g == nil {
-			if c.now-c.electedAt < constants.GrantTime+constants.GrantMargin {
-				return false, 0
-			}
-		} else if g.version < index && max(g.until, c.unknownUntil(g)) > c.now {
+		if g := c.nodes[id]; (g == nil || g.version < index) && c.now < c.lapse(g) {
 			return false, 0
 		}
 	}
@@ -89,21 +93,10 @@
 	return true, uint64((c.now - c.releasedAt[index]).Milliseconds())
 }
 
-func (c *Core) unknownUntil(*granted) time.Duration {
-	return c.electedAt + constants.GrantTime + constants.GrantMargin
-}
-
 func (c *Core) isKeyFree(index uint64) bool {
 	for id := range c.view.Nodes {
-		switch g := c.nodes[id]; {
-		case g == nil:
-			if c.now-c.electedAt < constants.GrantTime+constants.GrantMargin+constants.ClaimWindow {
-				return false
-			}
-		case g.floor < index:
-			if c.now < max(g.until, c.unknownUntil(g))+constants.ClaimWindow {
-				return false
-			}
+		if g := c.nodes[id]; (g == nil || g.floor < index) && c.now < c.lapse(g)+constants.ClaimWindow {
+			return false
 		}
 	}
 	return true
--- a/internal/proxy/executor.go
+++ b/internal/proxy/executor.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"crypto/sha256"
 	"encoding/base64"
@@ -165,7 +166,7 @@
 				return nil, x.giveUp(l, declineLater("gone", "the caller left or the wait is over"))
 			case <-time.After(step):
 			}
-			parkedAt = first(parkedAt, now)
+			parkedAt = cmp.Or(parkedAt, now)
 		case TurnForward:
 			if forwards == 0 {
 				x.options.Loads.First(now, q.Service)
@@ -179,7 +180,7 @@
 				return nil, fault
 			}
 			l.lastFault = fault.Message
-			parkedAt = first(parkedAt, now)
+			parkedAt = cmp.Or(parkedAt, now)
 			select {
 			case <-ctx.Done():
 				return nil, fault
@@ -196,7 +197,7 @@
 			if state {
 				l.isClaimed = true
 			} else {
-				parkedAt = first(parkedAt, now)
+				parkedAt = cmp.Or(parkedAt, now)
 				select {
 				case <-ctx.Done():
 					return nil, x.giveUp(l, declineLater("gone", "the caller left or the wait is over"))
@@ -220,13 +221,6 @@
 	}
 }
 
-func first(at, otherwise time.Duration) time.Duration {
-	if at > 0 {
-		return at
-	}
-	return otherwise
-}
-
 func (x *Executor) giveUp(l *leg, fault *DeclineError) *DeclineError {
 	if l.isTouched {
 		e := *fault
