--- a/cmd/rig/fleet.go
+++ b/cmd/rig/fleet.go
@@ -17,6 +17,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"topazshed/internal/judge"
 )
 
 type place struct{ district, region string }
@@ -72,7 +74,7 @@
 	program  string
 	folder   string
 	links    *Links
-	history  *History
+	history  *judge.History
 	machines []*Machine
 	platform string
 	level    string
@@ -102,7 +104,7 @@
 	return name[:strings.LastIndex(name, "-")]
 }
 
-func newFleet(program, folder, platform, level string, h *History) (*Fleet, error) {
+func newFleet(program, folder, platform, level string, h *judge.History) (*Fleet, error) {
 	f := &Fleet{program: program, folder: folder, platform: platform, level: level, history: h}
 	f.links = newLinks(func(from, to string) time.Duration { return delayBetween(districtOfPlace(from), districtOfPlace(to)) })
 	for zone, p := range places {
@@ -218,7 +220,7 @@
 func (f *Fleet) kill(m *Machine) {
 	f.signal(m, syscall.SIGKILL)
 	f.await(m, 5*time.Second)
-	record(f.history, &f.history.Fleet, FleetEvent{At: f.history.now(), What: "kill", Node: m.name, Proxy: m.shown(7002)})
+	judge.Record(f.history, &f.history.Fleet, judge.FleetEvent{At: f.history.Now(), What: "kill", Node: m.name, Proxy: m.shown(7002)})
 }
 
 func (f *Fleet) await(m *Machine, limit time.Duration) error {
@@ -238,12 +240,12 @@
 }
 
 func (f *Fleet) stop(m *Machine) error {
-	at := f.history.now()
+	at := f.history.Now()
 	if err := f.signal(m, syscall.SIGTERM); err != nil {
 		return err
 	}
 	err := f.await(m, 30*time.Second)
-	record(f.history, &f.history.Fleet, FleetEvent{At: at, End: f.history.now(), What: "stop", Node: m.name, Proxy: m.shown(7002)})
+	judge.Record(f.history, &f.history.Fleet, judge.FleetEvent{At: at, End: f.history.Now(), What: "stop", Node: m.name, Proxy: m.shown(7002)})
 	return err
 }
 
--- a/cmd/rig/scenario.go
+++ b/cmd/rig/scenario.go
@@ -13,6 +13,8 @@
 	"strings"
 	"syscall"
 	"time"
+
+	"topazshed/internal/judge"
 )
 
 // Step is one thing that a scenario does at a time.
@@ -81,17 +83,17 @@
 	fleet   *Fleet
 	world   *World
 	callers *Callers
-	history *History
+	history *judge.History
 	dep     Deployment
 	base    uint64
 	extra   int
 	leader  *Machine
 }
 
-func (r *Runner) operator(what, method, path string, query url.Values, body []byte, entries []EntrySeen, district string) (int, uint64) {
+func (r *Runner) operator(what, method, path string, query url.Values, body []byte, entries []judge.EntrySeen, district string) (int, uint64) {
 	for range 40 {
 		m := r.fleet.machines[r.callers.draw(len(r.fleet.machines))]
-		at := r.history.now()
+		at := r.history.Now()
 		status, header, text, err := r.fleet.door(m, method, path, query, body)
 		if err != nil || status == http.StatusServiceUnavailable || status == http.StatusGatewayTimeout && what != "put" {
 			time.Sleep(250 * time.Millisecond)
@@ -102,13 +104,13 @@
 		if version, err := strconv.ParseUint(header.Get("Topazshed-Version"), 10, 64); err == nil {
 			reply.Version = version
 		}
-		record(r.history, &r.history.Operators, OperatorEvent{At: at, End: r.history.now(), What: what, District: district, Version: reply.Version, Status: status, Entries: entries, Node: m.name})
+		judge.Record(r.history, &r.history.Operators, judge.OperatorEvent{At: at, End: r.history.Now(), What: what, District: district, Version: reply.Version, Status: status, Entries: entries, Node: m.name})
 		return status, reply.Version
 	}
 	return 0, 0
 }
 
-func (r *Runner) document() ([]byte, []EntrySeen) {
+func (r *Runner) document() ([]byte, []judge.EntrySeen) {
 	var document struct {
 		Entries []map[string]any `json:"entries"`
 	}
@@ -127,9 +129,9 @@
 		} `json:"entries"`
 	}
 	json.Unmarshal(text, &seen)
-	var entries []EntrySeen
+	var entries []judge.EntrySeen
 	for _, e := range seen.Entries {
-		entries = append(entries, EntrySeen{e.Service, e.Path, e.Methods, e.Safe, e.Homes})
+		entries = append(entries, judge.EntrySeen{Service: e.Service, Path: e.Path, Methods: e.Methods, Safe: e.Safe, Homes: e.Homes})
 	}
 	return text, entries
 }
@@ -178,14 +180,14 @@
 func (r *Runner) busiest(service string) []*Backend {
 	list := r.world.of(service)
 	counts := map[string]int{}
-	since := r.history.now() - 3*time.Second
-	r.history.lock.Lock()
+	since := r.history.Now() - 3*time.Second
+	r.history.Lock()
 	for _, a := range r.history.Arrivals {
 		if a.Service == service && a.At > since {
 			counts[a.Instance]++
 		}
 	}
-	r.history.lock.Unlock()
+	r.history.Unlock()
 	slices.SortStableFunc(list, func(a, b *Backend) int { return counts[b.instance] - counts[a.instance] })
 	return list
 }
--- a/cmd/rig/history.go
+++ b/internal/judge/history.go
@@ -1,4 +1,5 @@
-package main
+// Package judge holds the outside history of a run and judges it against what must never happen; fleet runs and simulated runs feed it alike.
+package judge
 
 import (
 	"sync"
@@ -100,8 +101,9 @@
 
 // History is everything that was seen from outside.
 type History struct {
-	lock      sync.Mutex
-	begun     time.Time
+	sync.Mutex
+	Now       func() time.Duration
+	RegionOf  func(district string) string
 	Arrivals  []*Arrival
 	Replies   []*Reply
 	Calls     []*Call
@@ -113,14 +115,14 @@
 	Births    map[string]time.Duration
 }
 
-func newHistory() *History {
-	return &History{begun: time.Now(), Places: map[string]string{}, Births: map[string]time.Duration{}}
+// NewHistory makes an empty history on a clock and a way to tell a district's region.
+func NewHistory(now func() time.Duration, regionOf func(district string) string) *History {
+	return &History{Now: now, RegionOf: regionOf, Places: map[string]string{}, Births: map[string]time.Duration{}}
 }
 
-func (h *History) now() time.Duration { return time.Since(h.begun) }
-
-func record[T any](h *History, list *[]T, it T) {
-	h.lock.Lock()
-	defer h.lock.Unlock()
+// Record adds one thing that was seen.
+func Record[T any](h *History, list *[]T, it T) {
+	h.Lock()
+	defer h.Unlock()
 	*list = append(*list, it)
 }
