The executor's turns are a pure machine; a wait that is over is told at once

Now proxy.Course takes events (begun, woken, connected, answered, claimed, released, gone) and gives orders (wait, connect, send, claim, release, reply); the executor only obeys them with connections. The decider is unchanged.

Before: TestCourse's last case gives "wait wait"; after: "wait reply". The other ten cases hold what the executor did before: order of turns, outcome, no leg left in the counts.

--- /dev/null
+++ b/internal/proxy/course.go
@@ -0,0 +1,538 @@
+package proxy
+
+import (
+	"cmp"
+	"errors"
+	"fmt"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"topazshed/internal/claim"
+	"topazshed/internal/constants"
+	"topazshed/internal/core"
+	"topazshed/internal/schema"
+	"topazshed/internal/standing"
+)
+
+// OrderKind is what the shell must do for a query next.
+type OrderKind int
+
+// The orders of a course; each but OrderReply is answered by an event.
+const (
+	OrderReply OrderKind = iota
+	OrderWait
+	OrderConnect
+	OrderSend
+	OrderClaim
+	OrderListen
+	OrderRelease
+)
+
+// ClaimCall is one claim for one keeper.
+type ClaimCall struct {
+	Member *schema.Member
+	Claim  *schema.Claim
+}
+
+// Order is one thing for the shell to do. For bounds it; Keeps says that the open connection is still good.
+type Order struct {
+	Kind    OrderKind
+	For     time.Duration
+	Wanted  string
+	Address string
+	Who     Identity
+	Path    string
+	Header  http.Header
+	Limit   uint64
+	IsBound bool
+	Claims  []ClaimCall
+	Outcome *Outcome
+	Fault   *DeclineError
+	Keeps   bool
+}
+
+// EventKind is what has happened to a query.
+type EventKind int
+
+// The events that a course takes.
+const (
+	EventBegun EventKind = iota
+	EventWoken
+	EventGone
+	EventConnected
+	EventAnswered
+	EventClaimed
+	EventReleased
+)
+
+// Event answers an order: a connection or its fault, a whole answer or its fault, a keeper's word or none.
+type Event struct {
+	Kind      EventKind
+	Err       error
+	Outcome   *Outcome
+	IsTouched bool
+	IsLate    bool
+	IsGone    bool
+	Claimed   *schema.ClaimOutcome
+}
+
+type phase int
+
+const (
+	phaseTurn phase = iota
+	phaseForwardConnect
+	phaseForward
+	phaseForwardPause
+	phaseClaim
+	phaseClaimPause
+	phaseConnect
+	phaseLeg
+	phaseRelease
+)
+
+// CourseOptions make a Course.
+type CourseOptions struct {
+	Self   *schema.Node
+	Loads  *Loads
+	Draw   func(int64) int64
+	Query  *Query
+	Holder string
+	Begun  time.Duration
+}
+
+// Course is one query's way through a proxy: events in, orders out, without I/O. The shell and the simulator both drive it.
+type Course struct {
+	CourseOptions
+	Repeats   int
+	phase     phase
+	now       time.Duration
+	local     *core.Local
+	until     time.Duration
+	parkedAt  time.Duration
+	decision  Decision
+	forwards  int
+	node      *schema.Node
+	isClaimed bool
+	keepers   *schema.Keepers
+	held      []*schema.Member
+	round     uint32
+	claimedAt time.Duration
+	asked     int
+	taken     int
+	elsewhere int
+	silence   time.Duration
+	legs      int
+	isTouched bool
+	tried     map[string]bool
+	lastFault string
+	endKeyed  func(bool)
+	fault     *DeclineError
+	isFinal   bool
+}
+
+// NewCourse begins a query's course.
+func NewCourse(options CourseOptions) *Course {
+	wait := options.Query.Wait
+	wait -= min(constants.AnswerMargin, wait/constants.AnswerShare)
+	return &Course{CourseOptions: options, until: options.Begun + wait, tried: map[string]bool{}}
+}
+
+// Next takes an event and gives the next order.
+func (c *Course) Next(now time.Duration, local *core.Local, e Event) Order {
+	c.now, c.local = now, local
+	if e.Kind == EventGone {
+		if c.phase == phaseForwardPause {
+			return c.reply(c.fault)
+		}
+		return c.giveUp(declineLater("gone", "the caller left or the wait is over"))
+	}
+	switch c.phase {
+	case phaseForwardConnect:
+		return c.forwardConnected(e)
+	case phaseForward:
+		return c.forwardAnswered(e)
+	case phaseForwardPause:
+		if c.parked() >= constants.ParkMost {
+			return c.reply(c.fault)
+		}
+	case phaseClaim:
+		return c.claimed(e)
+	case phaseClaimPause:
+		if c.now-c.parkedAt >= constants.ParkShort {
+			fault := declineLater("no-claim", "the keepers of this attempt id did not agree; send again")
+			fault.RetryAfter = max(constants.RetryAfter, c.silence)
+			return c.giveUp(fault)
+		}
+	case phaseConnect:
+		return c.connected(e)
+	case phaseLeg:
+		return c.answered(e)
+	case phaseRelease:
+		return c.released()
+	}
+	return c.turn(false)
+}
+
+func (c *Course) parked() time.Duration {
+	if c.parkedAt == 0 {
+		return 0
+	}
+	return c.now - c.parkedAt
+}
+
+func (c *Course) situation() Situation {
+	return Situation{Now: c.now, Local: c.local, Self: c.Self, Query: c.Query, Load: c.Loads, Tried: c.tried, IsClaimed: c.isClaimed, Parked: c.parked(), Left: c.until - c.now, Draw: c.Draw}
+}
+
+func (c *Course) turn(keeps bool) Order {
+	c.phase = phaseTurn
+	d := Decide(c.situation())
+	if d.Entry != nil && !d.IsSafe {
+		c.until = min(c.until, c.Begun+constants.ClaimWindow)
+	}
+	c.decision = d
+	order := Order{}
+	switch d.Turn {
+	case TurnDecline:
+		order = c.giveUp(d.Decline)
+	case TurnPark:
+		if c.now >= c.until {
+			order = c.giveUp(declineLater("late", "the wait is over"))
+			break
+		}
+		c.parkedAt = cmp.Or(c.parkedAt, c.now)
+		order = Order{Kind: OrderWait, For: min(constants.ParkStep, c.until-c.now), Wanted: d.Wanted}
+	case TurnForward:
+		order = c.forward()
+	case TurnClaim:
+		order = c.claim()
+	case TurnLeg:
+		order = c.leg()
+	}
+	order.Keeps = order.Keeps || keeps
+	return order
+}
+
+func (c *Course) reply(fault *DeclineError) Order { return Order{Kind: OrderReply, Fault: fault} }
+
+func (c *Course) giveUp(fault *DeclineError) Order {
+	if c.isTouched {
+		e := *fault
+		e.Status, e.Kind, e.Outcome = http.StatusBadGateway, "failed", OutcomeDoubtful
+		e.Message = "a leg was begun and gave no sealed answer: " + c.lastFault
+		e.RetryAfter = constants.RetryAfter
+		return c.reply(&e)
+	}
+	return c.release(fault, true)
+}
+
+func (c *Course) release(fault *DeclineError, isFinal bool) Order {
+	c.fault, c.isFinal = fault, isFinal
+	if len(c.held) == 0 {
+		return c.released()
+	}
+	order := Order{Kind: OrderRelease, For: constants.ClaimWait / 3}
+	for _, m := range c.held {
+		order.Claims = append(order.Claims, ClaimCall{m, &schema.Claim{Attempt: c.Query.Attempt, Holder: c.Holder, Keepers: c.keepers.Number, Region: c.keepers.Region, Round: c.round, Ended: true}})
+	}
+	c.phase = phaseRelease
+	c.held, c.isClaimed = nil, false
+	return order
+}
+
+func (c *Course) released() Order {
+	if c.isFinal {
+		return c.reply(c.fault)
+	}
+	c.phase = phaseClaimPause
+	return Order{Kind: OrderWait, For: constants.ParkStep}
+}
+
+func (c *Course) claim() Order {
+	d := c.decision
+	members := claim.Match(d.Keepers, c.Query.Attempt)
+	c.phase = phaseClaim
+	c.keepers, c.held, c.claimedAt = d.Keepers, members, c.now
+	c.round++
+	c.asked, c.taken, c.elsewhere = len(members), 0, 0
+	order := Order{Kind: OrderClaim, For: constants.ClaimWait}
+	for _, m := range members {
+		order.Claims = append(order.Claims, ClaimCall{m, &schema.Claim{Attempt: c.Query.Attempt, Digest: c.Query.Digest, Holder: c.Holder, Number: d.Owner.Number,
+			Keepers: d.Keepers.Number, Region: d.Keepers.Region, Round: c.round, WaitMs: uint32(c.Query.Wait.Milliseconds())}})
+	}
+	return order
+}
+
+func (c *Course) claimed(e Event) Order {
+	c.asked--
+	switch e.Claimed.GetState() {
+	case schema.ClaimState_CLAIM_TAKEN:
+		c.taken++
+	case schema.ClaimState_CLAIM_HELD:
+		c.elsewhere++
+	case schema.ClaimState_CLAIM_SILENT:
+		c.silence = time.Duration(e.Claimed.LeftMs) * time.Millisecond
+	}
+	isTaken := c.taken >= claim.Majority(len(c.held))
+	switch {
+	case isTaken && c.now-c.claimedAt < constants.ClaimWait:
+		c.isClaimed = true
+		return c.turn(false)
+	case c.asked > 0 && !isTaken:
+		return Order{Kind: OrderListen}
+	}
+	if c.elsewhere > 0 {
+		return c.release(&DeclineError{Status: http.StatusConflict, Kind: "attempt-held", Outcome: OutcomeDoubtful, RetryAfter: constants.RetryAfter,
+			Message: "another leg of this attempt id runs or ran; its outcome is not known here"}, true)
+	}
+	c.parkedAt = cmp.Or(c.parkedAt, c.now)
+	return c.release(nil, false)
+}
+
+func (c *Course) leg() Order {
+	b := c.decision.Backend
+	if c.legs > 0 && (c.legs >= constants.LegsMost || !c.Loads.Repeat(c.now, b.Service, c.sharers())) {
+		return c.giveUp(declineLater("no-repeat", "the repeat budget of %s is spent; send again later", b.Service))
+	}
+	c.Loads.Begin(b.Instance)
+	c.Loads.BeginKey(b.Service, c.Query.Key)
+	c.phase = phaseConnect
+	return Order{Kind: OrderConnect, For: constants.ConnectWait, Address: b.Address, Who: Identity{b.Service, b.Instance}}
+}
+
+func (c *Course) endLeg() {
+	c.Loads.End(c.decision.Backend.Instance)
+	c.Loads.EndKey(c.decision.Backend.Service, c.Query.Key)
+}
+
+func (c *Course) connected(e Event) Order {
+	d := c.decision
+	if e.Err != nil {
+		c.endLeg()
+		c.Loads.Report(d.Backend.Instance, false)
+		c.tried[d.Backend.Instance] = true
+		c.lastFault = e.Err.Error()
+		return c.turn(false)
+	}
+	s := c.situation()
+	again, isOwn := Check(s)
+	if !isOwn || !isStill(c.local, again, d) {
+		c.endLeg()
+		return c.turn(true)
+	}
+	c.endKeyed = func(bool) {}
+	if d.Entry.Keyed {
+		c.endKeyed = c.Loads.BeginKeyed(d.Version)
+	}
+	left := c.until - c.now
+	if d.IsSafe {
+		left = min(left, constants.SafeLegMost)
+	}
+	switch {
+	case c.legs > 0:
+		c.Repeats++
+	case len(c.Query.Forwarded) == 0:
+		c.Loads.First(c.now, d.Backend.Service)
+	}
+	c.legs++
+	header := c.header(left)
+	header.Set(HeaderService, d.Backend.Service)
+	header.Set(HeaderInstance, d.Backend.Instance)
+	header.Set(HeaderNumber, d.Owner.Trail.String())
+	if d.Entry.Keyed {
+		header.Set(HeaderSlot, fmt.Sprintf("%d;%d", d.Slot, d.SlotNo))
+	}
+	c.phase = phaseLeg
+	return Order{Kind: OrderSend, For: left, Path: c.Query.Path, Header: header, Limit: d.Entry.OutcomeLimit}
+}
+
+func (c *Course) answered(e Event) Order {
+	d := c.decision
+	err := e.Err
+	if err == nil {
+		err = verify(e.Outcome, c.Query, d.Backend)
+	}
+	c.endLeg()
+	c.isTouched = c.isTouched || e.IsTouched
+	c.endKeyed(e.IsLate)
+	if err == nil {
+		c.Loads.Report(d.Backend.Instance, true)
+		return Order{Kind: OrderReply, Outcome: &Outcome{e.Outcome.Status, strip(e.Outcome.Header), e.Outcome.Body}, Keeps: true}
+	}
+	c.tried[d.Backend.Instance] = true
+	c.lastFault = err.Error()
+	if c.now >= c.until || e.IsGone || !d.IsSafe && c.isTouched {
+		return c.giveUp(declineLater("failed", "%v", err))
+	}
+	return c.turn(false)
+}
+
+func (c *Course) forward() Order {
+	if c.forwards == 0 {
+		c.Loads.First(c.now, c.Query.Service)
+	}
+	nodes := c.decision.Nodes
+	best := nodes[c.Draw(int64(len(nodes)))]
+	if other := nodes[c.Draw(int64(len(nodes)))]; c.Loads.InFlight(other.Id) < c.Loads.InFlight(best.Id) {
+		best = other
+	}
+	if c.Loads.IsBad(best.Id) {
+		for _, node := range nodes {
+			if !c.Loads.IsBad(node.Id) {
+				best = node
+			}
+		}
+	}
+	c.Loads.Begin(best.Id)
+	c.node = best
+	c.phase = phaseForwardConnect
+	return Order{Kind: OrderConnect, For: constants.ConnectWait, Address: best.Proxy, Who: Identity{"topazshed", best.Id}}
+}
+
+func (c *Course) forwardConnected(e Event) Order {
+	if e.Err != nil {
+		c.Loads.End(c.node.Id)
+		c.Loads.Report(c.node.Id, false)
+		return c.forwardEnded(declineLater("no-proxy", "the owner's proxy is not reached (%v); send again", e.Err), true)
+	}
+	left := c.until - c.now
+	header := c.header(left)
+	header.Set(HeaderForwarded, c.decision.Owner.Trail.String())
+	c.phase = phaseForward
+	return Order{Kind: OrderSend, For: left, Path: "/" + c.Query.Service + c.Query.Path, Header: header, Limit: c.decision.Entry.OutcomeLimit + 4096, IsBound: true}
+}
+
+func (c *Course) forwardAnswered(e Event) Order {
+	c.Loads.End(c.node.Id)
+	doubt := func(err error) Order {
+		c.Loads.Report(c.node.Id, false)
+		return c.forwardEnded(&DeclineError{Status: http.StatusBadGateway, Kind: "failed", Outcome: OutcomeDoubtful, RetryAfter: constants.RetryAfter,
+			Message: fmt.Sprintf("the owner's proxy gave no whole answer: %v", err)}, c.decision.IsSafe)
+	}
+	if e.Err != nil {
+		return doubt(e.Err)
+	}
+	o := e.Outcome
+	if o.Header.Get(HeaderAttempt) != c.Query.Attempt || o.Header.Get(HeaderProxy) != c.node.Id {
+		return doubt(errors.New("the answer is for another query"))
+	}
+	kind := o.Header.Get(HeaderOutcome)
+	if kind == OutcomeSealed && o.Header.Get(HeaderDigest) != Seal(o.Body) && c.Query.Method != http.MethodHead {
+		return doubt(errors.New("the answer's digest does not fit its body"))
+	}
+	c.Loads.Report(c.node.Id, true)
+	if kind == OutcomeSealed {
+		return Order{Kind: OrderReply, Outcome: &Outcome{o.Status, strip(o.Header), o.Body}, Keeps: true}
+	}
+	fault := &DeclineError{Status: o.Status, Kind: "forwarded", Outcome: OutcomeDoubtful, Message: strings.TrimSpace(string(o.Body))}
+	var text errorBody
+	if jsonRead(o.Body, &text) {
+		fault.Kind, fault.Message = text.Kind, text.Message
+	}
+	if kind == OutcomeDeclined {
+		fault.Outcome = OutcomeDeclined
+	}
+	if seconds, err := strconv.Atoi(o.Header.Get("Retry-After")); err == nil {
+		fault.RetryAfter = time.Duration(seconds) * time.Second
+	}
+	order := c.forwardEnded(fault, kind == OutcomeDeclined && (text.Kind == "moved" || text.Kind == "behind"))
+	order.Keeps = true
+	return order
+}
+
+func (c *Course) forwardEnded(fault *DeclineError, mayRepeat bool) Order {
+	c.forwards++
+	if !mayRepeat || c.forwards >= 3 || fault.Outcome == OutcomeDoubtful && !c.Loads.Repeat(c.now, c.Query.Service, c.sharers()) {
+		return c.reply(fault)
+	}
+	c.lastFault, c.fault = fault.Message, fault
+	c.parkedAt = cmp.Or(c.parkedAt, c.now)
+	c.phase = phaseForwardPause
+	return Order{Kind: OrderWait, For: 5 * constants.ParkStep}
+}
+
+func isStill(local *core.Local, again, d Decision) bool {
+	if !slices.Equal(again.Owner.Trail, d.Owner.Trail) || again.Owner.Fenced && !d.IsSafe || again.Entry == nil {
+		return false
+	}
+	service := local.View.Services[d.Backend.Service]
+	if service == nil || !slices.ContainsFunc(service.Backends, func(b *schema.Backend) bool {
+		return b.Instance == d.Backend.Instance && b.Address == d.Backend.Address && usable(local.View, b, d.Owner.Region)
+	}) {
+		return false
+	}
+	if d.Entry.Keyed {
+		slot := service.Slots[d.Slot]
+		return slot != nil && slot.Next == "" && slot.Number == d.SlotNo
+	}
+	return true
+}
+
+func (c *Course) sharers() int {
+	view := c.local.View
+	groups := map[string]bool{}
+	if service := view.Services[c.decision.Entry.Service]; service != nil {
+		for _, rows := range service.Standings {
+			for _, row := range rows {
+				groups[standing.GroupName(view, row.Number)] = true
+			}
+		}
+	}
+	count := 0
+	for _, node := range view.Nodes {
+		if groups[node.District] {
+			count++
+		}
+	}
+	return max(1, count)
+}
+
+var dropped = []string{"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length", "Host", "Expect", HeaderForwarded, HeaderOutcome, HeaderProxy}
+
+func (c *Course) header(left time.Duration) http.Header {
+	header := c.Query.Header.Clone()
+	if header == nil {
+		header = http.Header{}
+	}
+	for _, name := range dropped {
+		header.Del(name)
+	}
+	for name := range header {
+		if strings.HasPrefix(name, "Topazshed-") {
+			header.Del(name)
+		}
+	}
+	header.Set(HeaderAttempt, c.Query.Attempt)
+	header.Set(HeaderWait, strconv.FormatInt(max(1, left.Milliseconds()), 10))
+	header.Set(HeaderOrigin, c.Query.OriginRaw)
+	if c.Query.Key != "" {
+		header.Set(HeaderKey, c.Query.Key)
+	}
+	return header
+}
+
+func verify(o *Outcome, q *Query, b *schema.Backend) error {
+	h := o.Header
+	switch {
+	case h.Get(HeaderAttempt) != q.Attempt:
+		return fmt.Errorf("outcome is sealed for attempt %q", h.Get(HeaderAttempt))
+	case h.Get(HeaderService) != b.Service || h.Get(HeaderInstance) != b.Instance:
+		return fmt.Errorf("outcome is sealed by %s/%s", h.Get(HeaderService), h.Get(HeaderInstance))
+	case h.Get(HeaderDigest) != Seal(o.Body) && q.Method != http.MethodHead:
+		return errors.New("outcome's digest does not fit its body")
+	case o.Status < 200:
+		return fmt.Errorf("outcome has status %d", o.Status)
+	}
+	return nil
+}
+
+func strip(header http.Header) http.Header {
+	kept := header.Clone()
+	for _, name := range dropped {
+		kept.Del(name)
+	}
+	return kept
+}
--- /dev/null
+++ b/internal/proxy/course_test.go
@@ -0,0 +1,97 @@
+package proxy
+
+import (
+	"errors"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"topazshed/internal/core"
+	"topazshed/internal/schema"
+	"topazshed/internal/standing"
+)
+
+func sealed(attempt, instance, body string) *Outcome {
+	o := &Outcome{Status: http.StatusOK, Header: http.Header{}, Body: []byte(body)}
+	o.Header.Set(HeaderAttempt, attempt)
+	o.Header.Set(HeaderService, "ledger")
+	o.Header.Set(HeaderInstance, instance)
+	o.Header.Set(HeaderDigest, Seal(o.Body))
+	return o
+}
+
+func TestCourse(t *testing.T) {
+	begun := Event{Kind: EventBegun}
+	up := Event{Kind: EventConnected}
+	down := Event{Kind: EventConnected, Err: errors.New("refused")}
+	good := Event{Kind: EventAnswered, Outcome: sealed("attempt-1", "l-1", "ok"), IsTouched: true}
+	other := Event{Kind: EventAnswered, Outcome: sealed("attempt-1", "l-2", "ok"), IsTouched: true}
+	foreign := Event{Kind: EventAnswered, Outcome: sealed("attempt-2", "l-1", "ok"), IsTouched: true}
+	lost := Event{Kind: EventAnswered, Err: errors.New("reset"), IsTouched: true}
+	claimed := func(state schema.ClaimState) Event {
+		return Event{Kind: EventClaimed, Claimed: &schema.ClaimOutcome{State: state}}
+	}
+	taken, elsewhere, silent := claimed(schema.ClaimState_CLAIM_TAKEN), claimed(schema.ClaimState_CLAIM_HELD), claimed(schema.ClaimState_CLAIM_SILENT)
+	released := Event{Kind: EventReleased}
+	isolated := func(l *core.Local) { l.View.Version = 0 }
+	names := map[OrderKind]string{OrderReply: "reply", OrderWait: "wait", OrderConnect: "connect", OrderSend: "send", OrderClaim: "claim", OrderListen: "listen", OrderRelease: "release"}
+	for _, c := range []struct {
+		name     string
+		isUnsafe bool
+		wait     time.Duration
+		change   func(*core.Local)
+		after    time.Duration
+		events   []Event
+		orders   string
+		outcome  string
+	}{
+		{"a sealed answer is passed on", false, time.Second, nil, 0, []Event{begun, up, good}, "connect send reply", "sealed"},
+		{"a safe query moves on when not reached", false, time.Second, nil, 0, []Event{begun, down, up, other}, "connect connect send reply", "sealed"},
+		{"or when the answer is another's, within the repeat budget", false, time.Second, nil, 0, []Event{begun, up, foreign}, "connect send connect", ""},
+		{"and is told doubtful in the end", false, time.Second, nil, 0, []Event{begun, up, lost, up, lost, up, lost}, "connect send connect send connect send reply", "doubtful"},
+		{"an unsafe query is claimed by two of three, then has its leg", true, time.Second, nil, 0, []Event{begun, taken, silent, taken, up, good}, "claim listen listen connect send reply", "sealed"},
+		{"a lost answer is doubtful at once", true, time.Second, nil, 0, []Event{begun, taken, taken, up, lost}, "claim listen connect send reply", "doubtful"},
+		{"a back end not reached is passed over", true, time.Second, nil, 0, []Event{begun, taken, taken, down, up}, "claim listen connect connect send", ""},
+		{"an id held elsewhere is released and doubtful", true, time.Second, nil, 0, []Event{begun, elsewhere, elsewhere, taken, released}, "claim listen listen release reply", "doubtful"},
+		{"silent keepers are asked again", true, time.Second, nil, 0, []Event{begun, silent, silent, silent, released, {Kind: EventWoken}}, "claim listen listen release wait claim", ""},
+		{"a caller that left is declined", true, time.Second, nil, 0, []Event{begun, silent, silent, silent, released, {Kind: EventGone}}, "claim listen listen release wait reply", "declined"},
+		{"a wait that is over is told at once, not parked again", false, 100 * time.Millisecond, isolated, 100 * time.Millisecond, []Event{begun, {Kind: EventWoken}}, "wait reply", "declined"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			q := &Query{Service: "ledger", Path: "/balances/7", Method: "GET", Attempt: "attempt-1", Wait: c.wait, Origin: standing.Origin{Region: "north"}}
+			if c.isUnsafe {
+				q.Path, q.Method, q.Origin = "/pay", "POST", standing.Origin{Service: "ledger", Path: "/pay"}
+			}
+			w := base(backend("l-1", "north-a"), backend("l-2", "north-a"), backend("l-3", "north-b"))
+			local := fresh(w.view())
+			if c.change != nil {
+				c.change(local)
+			}
+			loads := NewLoads(func() time.Duration { return noon })
+			course := NewCourse(CourseOptions{Self: &schema.Node{Id: "nnorth-a", District: "north-a", Region: "north"}, Loads: loads, Draw: func(int64) int64 { return 0 }, Query: q, Holder: "h/1", Begun: noon})
+			var kinds []string
+			var last Order
+			now := noon
+			for _, e := range c.events {
+				last = course.Next(now, local, e)
+				kinds = append(kinds, names[last.Kind])
+				now += c.after
+				local.FreshAt, local.TickAt = now, now
+			}
+			outcome := ""
+			if last.Kind == OrderReply {
+				outcome = Tell("self", q.Attempt, last.Outcome, last.Fault).Header.Get(HeaderOutcome)
+			}
+			if got := strings.Join(kinds, " "); got != c.orders || outcome != c.outcome {
+				t.Fatalf("orders %q outcome %q, want %q %q (%v)", got, outcome, c.orders, c.outcome, last.Fault)
+			}
+			if last.Kind == OrderReply && loads.InFlight("l-1")+loads.InFlight("l-2")+loads.InFlight("l-3") != 0 {
+				t.Error("a leg is still counted after the reply")
+			}
+			if last.Kind == OrderWait && last.For <= 0 {
+				t.Errorf("a wait of %v", last.For)
+			}
+		})
+	}
+}
--- a/internal/proxy/query.go
+++ b/internal/proxy/query.go
@@ -72,15 +72,28 @@
 	Outcome string `json:"outcome"`
 }
 
+func (e *DeclineError) told() *Outcome {
+	body, err := json.Marshal(errorBody{e.Kind, e.Message, e.Outcome})
+	if err != nil {
+		body = []byte("{}")
+	}
+	told := &Outcome{e.Status, http.Header{}, append(body, '\n')}
+	told.Header.Set("Content-Type", "application/json")
+	told.Header.Set(HeaderOutcome, e.Outcome)
+	if e.RetryAfter > 0 {
+		told.Header.Set("Retry-After", strconv.Itoa(max(1, int((e.RetryAfter+time.Second-1)/time.Second))))
+	}
+	return told
+}
+
 // Write gives the outcome to the caller.
 func (e *DeclineError) Write(w http.ResponseWriter) {
-	w.Header().Set("Content-Type", "application/json")
-	w.Header().Set(HeaderOutcome, e.Outcome)
-	if e.RetryAfter > 0 {
-		w.Header().Set("Retry-After", strconv.Itoa(max(1, int((e.RetryAfter+time.Second-1)/time.Second))))
+	told := e.told()
+	for name, values := range told.Header {
+		w.Header()[name] = values
 	}
-	w.WriteHeader(e.Status)
-	json.NewEncoder(w).Encode(errorBody{e.Kind, e.Message, e.Outcome})
+	w.WriteHeader(told.Status)
+	w.Write(told.Body)
 }
 
 func decline(status int, kind, form string, args ...any) *DeclineError {
