The repeat budget's window leaves room for the way from proxy to back end

Cause: a proxy counts a leg when it writes it, the rule counts arrivals. A repeat was paid for by first legs at the window's edge that had left the back ends' own 10 s.

The window is 0.25 s shorter for first legs and 0.25 s longer for repeats.

--- a/internal/constants/constants.go
+++ b/internal/constants/constants.go
@@ -132,6 +132,8 @@
 	RepeatAllowance = 10
 	// RepeatWindow (time) is the sliding window of the repeat budget.
 	RepeatWindow = 10 * time.Second
+	// RepeatMargin (time) shortens the window for first legs and lengthens it for repeats, since a leg arrives later than it was counted.
+	RepeatMargin = 250 * time.Millisecond
 	// ColdRamp (time) is how long a new back end is held below its full share.
 	ColdRamp = 10 * time.Second
 	// ColdFirst (legs per second) is what a cold back end may get from the whole fleet in its first second.
--- a/internal/proxy/budget.go
+++ b/internal/proxy/budget.go
@@ -145,10 +145,10 @@
 }
 
 func (w *window) trim(now time.Duration) {
-	for len(w.firsts) > 0 && now-w.firsts[0] >= constants.RepeatWindow {
+	for len(w.firsts) > 0 && now-w.firsts[0] >= constants.RepeatWindow-constants.RepeatMargin {
 		w.firsts = w.firsts[1:]
 	}
-	for len(w.repeats) > 0 && now-w.repeats[0] >= constants.RepeatWindow {
+	for len(w.repeats) > 0 && now-w.repeats[0] >= constants.RepeatWindow+constants.RepeatMargin {
 		w.repeats = w.repeats[1:]
 	}
 }
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -175,7 +175,13 @@
 	if repeats != 100*constants.RepeatShare/100+constants.RepeatAllowance/5 {
 		t.Errorf("%d repeats of 100 first legs", repeats)
 	}
-	if l.Repeat(noon+constants.RepeatWindow+time.Second, "s", 5) != true || l.Repeat(noon+constants.RepeatWindow+time.Second, "nobody", 5) {
+	for range 10 {
+		l.First(noon, "edge")
+	}
+	if l.Repeat(noon+constants.RepeatWindow-constants.RepeatMargin/2, "edge", 20) {
+		t.Error("a repeat is paid for by first legs that leave the window before it arrives")
+	}
+	if l.Repeat(noon+constants.RepeatWindow+2*time.Second, "s", 5) != true || l.Repeat(noon+constants.RepeatWindow+time.Second, "nobody", 5) {
 		t.Error("the window does not slide, or a service without legs may repeat")
 	}
 	cold := &schema.Backend{Instance: "c", Cold: true}
