Cold back ends: those that return count, keyed legs too, in whole parts of the rate

Cause: the cold mark was given to new instances only, so one that crashed and came back got its full share at once; a keyed leg did not pass the limit at all; a proxy that had ramped an instance once went on from there when it came back. And the rate was divided by all proxies of the region with rounding down, so only half of what a cold back end may bear was used.

Ruled out: a spread of the mark that is too slow (the row that ends "failing" is the one that says "cold").

--- a/internal/constants/constants.go
+++ b/internal/constants/constants.go
@@ -134,10 +134,10 @@
 	RepeatWindow = 10 * time.Second
 	// RepeatMargin (time) shortens the window for first legs and lengthens it for repeats, since a leg arrives later than it was counted.
 	RepeatMargin = 250 * time.Millisecond
-	// ColdRamp (time) is how long a new back end is held below its full share.
+	// ColdRamp (time) is how long a new back end is held below its full share: from as many legs a second as it works on at once (each may take it a second) to twice that.
 	ColdRamp = 10 * time.Second
-	// ColdFirst (legs per second) is what a cold back end may get from the whole fleet in its first second.
-	ColdFirst = 4
+	// ColdMargin (time) lengthens the second in which a cold back end's legs are counted, since a leg arrives later than it was counted.
+	ColdMargin = 100 * time.Millisecond
 	// Bearable (legs) a warm back end works on at once, the entry's default.
 	Bearable = 6
 	// KeyShare (percent) of a proxy's legs in flight to a service one key may hold.
--- a/internal/proxy/budget.go
+++ b/internal/proxy/budget.go
@@ -97,6 +97,7 @@
 		delete(s.bad, instance)
 	} else {
 		s.bad[instance]++
+		delete(s.ramps, instance)
 	}
 }
 
@@ -107,8 +108,8 @@
 	return s.bad[instance] >= constants.VitalsFails
 }
 
-// MayBegin holds a cold back end to its share of a rising rate and counts the leg where it may begin.
-func (l *Loads) MayBegin(now time.Duration, backend *schema.Backend, sharers int, bearable uint32) bool {
+// MayBegin holds a cold back end to this proxy's part of a rising rate and counts the leg where it may begin.
+func (l *Loads) MayBegin(now time.Duration, backend *schema.Backend, part Part, bearable uint32) bool {
 	s, free := l.in(backend.Instance)
 	defer free()
 	if !backend.Cold {
@@ -121,16 +122,23 @@
 		s.ramps[backend.Instance] = r
 	}
 	age := min(now-r.seenAt, constants.ColdRamp)
-	for len(r.begun) > 0 && now-r.begun[0] >= time.Second {
+	last := r.lastOr(now - time.Hour)
+	for len(r.begun) > 0 && now-r.begun[0] >= time.Second+constants.ColdMargin {
 		r.begun = r.begun[1:]
 	}
-	rate := constants.ColdFirst + (float64(bearable)*2-constants.ColdFirst)*float64(age)/float64(constants.ColdRamp)
-	share := rate / float64(sharers)
-	if share < 1 {
-		if len(r.begun) > 0 || float64(now-r.lastOr(now-time.Hour)) < float64(time.Second)/share {
+	rate := float64(bearable) * (1 + float64(age)/float64(constants.ColdRamp))
+	of := max(1, part.Of)
+	allowed := int(rate) / of
+	if part.Rank < int(rate)%of {
+		allowed++
+	}
+	if share := rate / float64(of); share < 1 {
+		allowed = 1
+		if float64(now-last) < float64(time.Second)/share {
 			return false
 		}
-	} else if len(r.begun) >= int(share) {
+	}
+	if len(r.begun) >= allowed {
 		return false
 	}
 	r.begun = append(r.begun, now)
--- a/internal/proxy/decider.go
+++ b/internal/proxy/decider.go
@@ -46,7 +46,7 @@
 type Load interface {
 	InFlight(instance string) int
 	IsBad(instance string) bool
-	MayBegin(now time.Duration, backend *schema.Backend, sharers int, bearable uint32) bool
+	MayBegin(now time.Duration, backend *schema.Backend, part Part, bearable uint32) bool
 	KeyInFlight(service, key string) (ofKey, ofAll int)
 }
 
@@ -234,18 +234,16 @@
 		d.SlotNo = slot.Number
 		for _, backend := range service.Backends {
 			if backend.Instance == slot.Instance && usable(view, backend, owner.Region) && s.Load.InFlight(backend.Instance) < int(entry.Bearable) && !s.Tried[backend.Instance] {
+				if !s.Load.MayBegin(s.Now, backend, s.part(service, owner.Region), entry.Bearable) {
+					return park("key-cold", "the key's back end is cold and takes little yet; send again")
+				}
 				d.Backend, d.Turn = backend, TurnLeg
 				return d
 			}
 		}
 		return park("key-busy", "the key's back end is busy or gone; send again")
 	}
-	sharers := 0
-	for _, node := range view.Nodes {
-		if node.Region == owner.Region && node.State == schema.NodeState_NODE_READY {
-			sharers++
-		}
-	}
+	part := s.part(service, owner.Region)
 	isTried := false
 	choose := func(isNear bool) *schema.Backend {
 		var options []*schema.Backend
@@ -268,7 +266,7 @@
 			if s.Load.InFlight(options[j].Instance) < s.Load.InFlight(options[i].Instance) {
 				i = j
 			}
-			if s.Load.MayBegin(s.Now, options[i], max(1, sharers), entry.Bearable) {
+			if s.Load.MayBegin(s.Now, options[i], part, entry.Bearable) {
 				return options[i]
 			}
 			options = slices.Delete(options, i, i+1)
@@ -288,6 +286,30 @@
 	return park("no-backend", "no back end of %s in region %s is free; send again", entry.Service, owner.Region)
 }
 
+// Part is a proxy's place among those that may reach a back end, and their count.
+type Part struct{ Rank, Of int }
+
+func (s Situation) part(service *image.Service, region string) Part {
+	groups := map[uint64]bool{}
+	for _, rows := range service.Standings {
+		if row := rows[region]; row != nil {
+			groups[row.Number%constants.Increment] = true
+		}
+	}
+	part := Part{}
+	for id, node := range s.Local.View.Nodes {
+		district := s.Local.View.Districts[node.District]
+		if district == nil || !groups[uint64(district.Residue)] || node.State != schema.NodeState_NODE_READY {
+			continue
+		}
+		part.Of++
+		if id < s.Self.Id {
+			part.Rank++
+		}
+	}
+	return part
+}
+
 func usable(view *image.View, backend *schema.Backend, region string) bool {
 	district := view.Districts[backend.District]
 	return district != nil && district.Region == region && !district.Emptied && backend.State == schema.BackendState_BACKEND_READY && !backend.Failing
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -186,10 +186,11 @@
 				continue
 			}
 		}
-		if backend.Cold && r.coldAt[name] == 0 {
+		isBack := backend.Failing && !isFailing
+		if isBack || backend.Cold && r.coldAt[name] == 0 {
 			r.coldAt[name] = now
 		}
-		isCold := backend.Cold && now-r.coldAt[name] < constants.ColdRamp
+		isCold := (backend.Cold || isBack) && now-r.coldAt[name] < constants.ColdRamp
 		if !isCold {
 			delete(r.coldAt, name)
 		}
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -115,6 +115,38 @@
 	}
 }
 
+func TestABackEndThatFailedComesBackCold(t *testing.T) {
+	r, table := New(), image.NewTable()
+	now := time.Minute
+	state := func(isFailing bool) *schema.Backend {
+		now += constants.RosterEvery
+		for _, node := range []string{"n1", "n2"} {
+			r.Report(node, []*schema.Vital{{Instance: "l-1", Failing: isFailing}, {Instance: "l-2"}})
+		}
+		sweep := Join(pages("l-1", "l-2"))
+		if record := r.Plan(now, image.Compile(table), table, &sweep); record != nil {
+			if _, err := table.Apply(table.Version()+1, record, nil); err != nil {
+				t.Fatal(err)
+			}
+		}
+		return image.Compile(table).Services["ledger"].Backends[0]
+	}
+	state(false)
+	if b := state(false); b.Cold || b.Failing {
+		t.Fatalf("a first back end is %v", b)
+	}
+	if b := state(true); !b.Failing {
+		t.Fatalf("a lost one is %v", b)
+	}
+	if b := state(false); b.Failing || !b.Cold {
+		t.Fatalf("one that is back is %v, want it cold", b)
+	}
+	now += constants.ColdRamp
+	if b := state(false); b.Cold {
+		t.Fatalf("after the ramp it is %v", b)
+	}
+}
+
 func TestColdMarkIsClearedByTime(t *testing.T) {
 	r, table := New(), image.NewTable()
 	now := time.Minute
