A keyed leg without a whole answer counts as running until its wait is surely over

Cause: a keyed leg that ended by a lost connection or a bad answer was taken as ended at once, so its slot could be assigned while its back end still worked on it. Only a leg that ended by its deadline was waited for.

Ruled out: asking the back end (plain web services; a cut link answers nothing); waiting longer than 6 s (a crashed back end's keys must be served again within 15 s).

TestAKeyedLegWithoutAWholeAnswerCountsAsRunning failed in two cases before.

--- a/cmd/rig/world.go
+++ b/cmd/rig/world.go
@@ -112,7 +112,13 @@
 			return
 		}
 	}
+	holds := time.Now().Add(waitOf(r))
 	b.work <- true
+	if b.keyed && time.Now().After(holds) {
+		<-b.work
+		b.answer(w, a, http.StatusConflict, []byte(`{"error":"key is held no longer"}`), modeGood)
+		return
+	}
 	pause := time.Duration(8+b.world.draw(15)) * time.Millisecond
 	if b.isCold && time.Since(b.born) < 8*time.Second {
 		pause *= 6
@@ -120,17 +126,26 @@
 	if mode == modeSlow {
 		pause *= 20
 	}
-	begun := h.Now()
+	if b.keyed {
+		pause = min(pause, time.Until(holds))
+	}
 	time.Sleep(pause)
 	<-b.work
 	h.Lock()
 	a.IsRun, a.End = true, h.Now()
 	h.Unlock()
-	_ = begun
 	text := []byte(fmt.Sprintf(`{"service":%q,"path":%q,"attempt":%q,"query":%q,"bytes":%d,"pad":%q}`, b.service, r.URL.Path, a.Attempt, r.URL.RawQuery, len(body), strings.Repeat("x", b.world.draw(400))))
 	b.answer(w, a, http.StatusOK, text, mode)
 }
 
+func waitOf(r *http.Request) time.Duration {
+	left, err := strconv.Atoi(r.Header.Get("Topazshed-Wait"))
+	if err != nil {
+		return 0
+	}
+	return time.Duration(left) * time.Millisecond
+}
+
 func (b *Backend) answer(w http.ResponseWriter, a *judge.Arrival, status int, text []byte, mode Mode) {
 	h := b.world.history
 	digest := seal(text)
--- a/internal/constants/constants.go
+++ b/internal/constants/constants.go
@@ -152,7 +152,7 @@
 	IdlePerBackend = 8
 	// LegsMost (tries) bounds the legs of one repeat-safe query.
 	LegsMost = 4
-	// KeyedAfterglow (time) is how long a keyed leg that was cut off by its deadline counts as running: its back end can't be asked.
+	// KeyedAfterglow (time) is how long a keyed leg without a whole answer counts as running: its back end can't be asked, and was told of no longer wait.
 	KeyedAfterglow = ClaimWindow
 	// KeyMoves (slots) of a service are moved at once to even out its back ends; a newly warm one so gets its share little by little.
 	KeyMoves = 4
--- a/internal/proxy/budget.go
+++ b/internal/proxy/budget.go
@@ -219,17 +219,17 @@
 	}
 }
 
-// BeginKeyed notes the image version that a keyed leg was begun on; the closure ends it, at once or after its afterglow.
-func (l *Loads) BeginKeyed(version uint64) func(isCutOff bool) {
+// BeginKeyed notes the image version that a keyed leg was begun on; the closure ends it, at once or, without a whole answer, after its afterglow.
+func (l *Loads) BeginKeyed(version uint64) func(isOpen bool) {
 	l.lock.Lock()
 	defer l.lock.Unlock()
 	l.serial++
 	id := l.serial
 	l.keyed[id] = keyedLeg{version: version}
-	return func(isCutOff bool) {
+	return func(isOpen bool) {
 		l.lock.Lock()
 		defer l.lock.Unlock()
-		if isCutOff {
+		if isOpen {
 			l.keyed[id] = keyedLeg{version, l.now() + constants.KeyedAfterglow}
 		} else {
 			delete(l.keyed, id)
--- a/internal/proxy/course.go
+++ b/internal/proxy/course.go
@@ -74,7 +74,6 @@
 	Err       error
 	Outcome   *Outcome
 	IsTouched bool
-	IsLate    bool
 	IsGone    bool
 	Claimed   *schema.ClaimOutcome
 }
@@ -357,7 +356,7 @@
 	}
 	c.endLeg()
 	c.isTouched = c.isTouched || e.IsTouched
-	c.endKeyed(e.IsLate)
+	c.endKeyed(err != nil)
 	if err == nil {
 		c.Loads.Report(d.Backend.Instance, true)
 		return Order{Kind: OrderReply, Outcome: &Outcome{e.Outcome.Status, strip(e.Outcome.Header), e.Outcome.Body}, Keeps: true}
--- a/internal/proxy/course_test.go
+++ b/internal/proxy/course_test.go
@@ -7,7 +7,9 @@
 	"testing"
 	"time"
 
+	"topazshed/internal/constants"
 	"topazshed/internal/core"
+	"topazshed/internal/image"
 	"topazshed/internal/schema"
 	"topazshed/internal/standing"
 )
@@ -95,3 +97,41 @@
 		})
 	}
 }
+
+func TestAKeyedLegWithoutAWholeAnswerCountsAsRunning(t *testing.T) {
+	for _, c := range []struct {
+		name      string
+		event     Event
+		isRunning bool
+	}{
+		{"a sealed answer ends it", Event{Kind: EventAnswered, Outcome: sealed("attempt-1", "l-1", "ok"), IsTouched: true}, false},
+		{"a lost connection does not", Event{Kind: EventAnswered, Err: errors.New("reset"), IsTouched: true}, true},
+		{"nor does another's answer", Event{Kind: EventAnswered, Outcome: sealed("attempt-2", "l-1", "ok"), IsTouched: true}, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			w := base(backend("l-1", "north-a"))
+			w.put("", image.Put(image.EntryKey("ledger", "/keyed"), &schema.Entry{Service: "ledger", Path: "/keyed", Methods: []string{"GET"}, SafeMethods: []string{"GET"}, Keyed: true, OutcomeLimit: 4096, Bearable: 6}))
+			w.put("", image.Put(image.StandingKey("ledger", "/keyed", "north"), &schema.Standing{Service: "ledger", Path: "/keyed", Region: "north", Number: 100}))
+			w.put("", image.Put(image.EntityKey("ledger", "/keyed"), &schema.Entity{Service: "ledger", Path: "/keyed", Region: "north", Number: 101}))
+			w.put("", image.Put(image.SlotKey("ledger", Slot("k")), &schema.KeyRange{Service: "ledger", Slot: Slot("k"), Instance: "l-1", Number: 1}))
+			now := noon
+			loads := NewLoads(func() time.Duration { return now })
+			local := fresh(w.view())
+			q := &Query{Service: "ledger", Path: "/keyed", Method: "GET", Key: "k", Attempt: "attempt-1", Wait: time.Second, Origin: standing.Origin{Service: "ledger", Path: "/keyed"}}
+			course := NewCourse(CourseOptions{Self: &schema.Node{Id: "nnorth-a", District: "north-a", Region: "north"}, Loads: loads, Draw: func(int64) int64 { return 0 }, Query: q, Begun: noon})
+			for _, e := range []Event{{Kind: EventBegun}, {Kind: EventConnected}} {
+				course.Next(now, local, e)
+			}
+			if loads.Floor() != local.View.Version {
+				t.Fatalf("a leg in flight has floor %d", loads.Floor())
+			}
+			course.Next(now, local, c.event)
+			if isRunning := loads.Floor() != 0; isRunning != c.isRunning {
+				t.Fatalf("running %v, want %v", isRunning, c.isRunning)
+			}
+			if now += constants.KeyedAfterglow; loads.Floor() != 0 {
+				t.Error("it still runs after the afterglow")
+			}
+		})
+	}
+}
--- a/internal/proxy/executor.go
+++ b/internal/proxy/executor.go
@@ -11,7 +11,6 @@
 	"log/slog"
 	"net/http"
 	"net/url"
-	"os"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -171,7 +170,6 @@
 		case OrderSend:
 			event.Kind = EventAnswered
 			event.Outcome, event.IsTouched, isClean, event.Err = exchange(ctx, conn, q, order)
-			event.IsLate = errors.Is(event.Err, os.ErrDeadlineExceeded)
 			event.IsGone = event.Err != nil && ctx.Err() != nil
 			if event.Err != nil {
 				x.options.Log.Debug("leg failed", "instance", conn.who.Instance, "reason", event.Err.Error())
