Claims are kept for 150 s; an id older than its keepers' memory is doubtful

Cause: one span served two ends. A keeper forgot an id 12 s after its claim, so an id repeated later ran again, and so did one whose first proxy had frozen between its last check and the write. Two spans now: the window that is waited out after a loss (6 s, as before) and the keeping (150 s, 200000 claims a keeper, copied in pages). Keepers know how far back their memory reaches; a caller may tell an id's age (Topazshed-Age), and what may be older than the memory, or than the entry's move to this region, is doubtful. The entity row keeps the mark that it has moved.

Not covered: a caller that tells no age, as docs/faults.md says.

--- a/cmd/rig/caller.go
+++ b/cmd/rig/caller.go
@@ -159,7 +159,11 @@
 		_ = origin
 		origin = m.Origin
 		call.Sends++
-		reply := c.send(kind, path, key, attempt, zone, m, left, call.Sends)
+		age := time.Duration(0)
+		if isDoubtful && call.IsUnsafe {
+			age = h.Now() - call.At
+		}
+		reply := c.send(kind, path, key, attempt, zone, m, left, age, call.Sends)
 		judge.Record(h, &h.Replies, reply)
 		call.Last = reply.Kind + " " + reply.Broken
 		switch {
@@ -257,7 +261,7 @@
 	return nil, 300 * time.Millisecond
 }
 
-func (c *Callers) send(kind Kind, path, key, attempt string, zone int, m *matched, left time.Duration, serial int) *judge.Reply {
+func (c *Callers) send(kind Kind, path, key, attempt string, zone int, m *matched, left, age time.Duration, serial int) *judge.Reply {
 	proxy := m.Proxies[c.draw(len(m.Proxies))]
 	r := &judge.Reply{At: c.history.Now(), Service: kind.Service, Path: path, Method: kind.Method, Attempt: attempt, Send: fmt.Sprintf("%s/%d", attempt, serial), District: proxy.District, Proxy: proxy.Address, IsUnsafe: kind.Method != "GET", IsProper: true}
 	limit := left
@@ -279,6 +283,9 @@
 	request.Header.Set("Topazshed-Wait", strconv.FormatInt(max(1, left.Milliseconds()), 10))
 	request.Header.Set("Topazshed-Origin", m.Origin)
 	request.Header.Set("X-Send", r.Send)
+	if age > 0 {
+		request.Header.Set("Topazshed-Age", strconv.FormatInt(age.Milliseconds()+1, 10))
+	}
 	if key != "" {
 		request.Header.Set("Topazshed-Key", key)
 	}
--- a/internal/claim/claim.go
+++ b/internal/claim/claim.go
@@ -27,6 +27,7 @@
 	lock   sync.Mutex
 	claims map[string]*held
 	swept  time.Duration
+	forgot time.Duration
 }
 
 // Keeper is one node's part in the claims of its region.
@@ -41,6 +42,9 @@
 	adoptedAt  time.Duration
 	askedAt    time.Duration
 	copiedIn   map[string]bool
+	pages      map[string]uint32
+	since      time.Duration
+	reach      time.Duration
 	hasLived   bool
 	hasAdopted bool
 	shards     [shards]shard
@@ -48,7 +52,7 @@
 
 // NewKeeper makes a silent keeper; one that has lived before under its id must not believe in a first set.
 func NewKeeper(id string, hasLived bool) *Keeper {
-	k := &Keeper{id: id, hasLived: hasLived, copied: map[string]bool{}, copiedIn: map[string]bool{}}
+	k := &Keeper{id: id, hasLived: hasLived, copied: map[string]bool{}, copiedIn: map[string]bool{}, pages: map[string]uint32{}}
 	for i := range k.shards {
 		k.shards[i].claims = map[string]*held{}
 	}
@@ -89,7 +93,8 @@
 		k.set = set
 		k.isMember = slices.ContainsFunc(set.Members, func(m *schema.Member) bool { return m.Id == k.id })
 		k.isReady = set.First && !k.hasLived && k.isMember
-		k.copied, k.copiedIn = map[string]bool{}, map[string]bool{}
+		k.copied, k.copiedIn, k.pages = map[string]bool{}, map[string]bool{}, map[string]uint32{}
+		k.reach = k.since
 		if wasReady && slices.ContainsFunc(set.Former, func(m *schema.Member) bool { return m.Id == k.id }) {
 			k.copied[k.id] = true
 		}
@@ -114,52 +119,71 @@
 		return len(set) > 0 && len(copied) >= len(set)-(Majority(len(set))-1)
 	}
 	isCopied := isEnough(k.set.Former, k.copied) || isEnough(k.set.Members, k.copiedIn)
-	if isCopied || k.clearAt > 0 && now >= k.clearAt {
-		k.isReady = true
+	switch {
+	case isCopied:
+		k.isReady, k.since = true, k.reach
+	case k.clearAt > 0 && now >= k.clearAt:
+		k.isReady, k.since = true, k.clearAt-constants.ClaimWindow
 	}
 }
 
-// Ask gives the former keepers that must still be asked for their claims.
-func (k *Keeper) Ask(now time.Duration) ([]*schema.Member, *schema.ClaimCopy) {
+// Asking is one keeper to be asked for its claims, and the query for it.
+type Asking struct {
+	Member *schema.Member
+	Query  *schema.ClaimCopy
+}
+
+// Ask gives the keepers that must still be asked for their claims.
+func (k *Keeper) Ask(now time.Duration) []Asking {
 	k.lock.Lock()
 	defer k.lock.Unlock()
 	k.settle(now)
 	if k.set == nil || !k.isMember || k.isReady || now-k.askedAt < constants.ClaimCopyEvery {
-		return nil, nil
+		return nil
 	}
 	k.askedAt = now
-	var members []*schema.Member
+	var list []Asking
 	seen := map[string]bool{k.id: true}
 	for _, m := range slices.Concat(k.set.Former, k.set.Members) {
 		if !seen[m.Id] && !k.copied[m.Id] {
-			members = append(members, m)
+			list = append(list, Asking{m, &schema.ClaimCopy{Region: k.set.Region, Keepers: k.set.Number, Page: k.pages[m.Id]}})
 		}
 		seen[m.Id] = true
 	}
-	return members, &schema.ClaimCopy{Region: k.set.Region, Keepers: k.set.Number}
+	return list
 }
 
-// Copy answers a keeper of the set that this one has adopted too; from then on older sets are declined here.
+// Copy answers a keeper of the set that this one has adopted too, a page at a time; from then on older sets are declined here.
 func (k *Keeper) Copy(now time.Duration, query *schema.ClaimCopy) *schema.ClaimCopyOutcome {
 	k.lock.RLock()
 	defer k.lock.RUnlock()
-	if k.set == nil || k.set.Number != query.Keepers || k.set.Region != query.Region {
+	if k.set == nil || k.set.Number != query.Keepers || k.set.Region != query.Region || query.Page >= shards {
 		return &schema.ClaimCopyOutcome{Keepers: k.set.GetNumber()}
 	}
 	if !k.copied[k.id] && !k.isReady {
 		return &schema.ClaimCopyOutcome{Keepers: k.set.Number}
 	}
 	outcome := &schema.ClaimCopyOutcome{Ready: true, Full: k.isReady && k.isMember, Keepers: k.set.Number}
+	since := k.since
 	for i := range k.shards {
 		s := &k.shards[i]
 		s.lock.Lock()
-		for attempt, h := range s.claims {
-			if h.until > now {
-				outcome.Claims = append(outcome.Claims, &schema.HeldClaim{Attempt: attempt, Digest: h.digest, Holder: h.holder, Number: h.number, Round: h.round, LeftMs: uint32((h.until - now).Milliseconds())})
+		since = max(since, s.forgot)
+		if i >= int(query.Page) && outcome.Next == 0 {
+			for attempt, h := range s.claims {
+				if h.until > now {
+					outcome.Claims = append(outcome.Claims, &schema.HeldClaim{Attempt: attempt, Digest: h.digest, Holder: h.holder, Number: h.number, Round: h.round, LeftMs: uint32((h.until - now).Milliseconds())})
+				}
+			}
+			if len(outcome.Claims) >= constants.ClaimPage && i+1 < shards {
+				outcome.Next = uint32(i + 1)
 			}
 		}
 		s.lock.Unlock()
 	}
+	if since > 0 {
+		outcome.ReachMs = uint64(max(1, (now - since).Milliseconds()))
+	}
 	return outcome
 }
 
@@ -178,6 +202,14 @@
 		}
 		s.lock.Unlock()
 	}
+	if outcome.ReachMs > 0 {
+		k.reach = max(k.reach, now-time.Duration(outcome.ReachMs)*time.Millisecond)
+	}
+	if outcome.Next > 0 {
+		k.pages[from] = outcome.Next
+		k.askedAt = now - constants.ClaimCopyEvery
+		return
+	}
 	if slices.ContainsFunc(k.set.Former, func(m *schema.Member) bool { return m.Id == from }) {
 		k.copied[from] = true
 	}
@@ -225,12 +257,7 @@
 	s.lock.Lock()
 	defer s.lock.Unlock()
 	if now-s.swept > constants.ClaimWindow {
-		s.swept = now
-		for attempt, h := range s.claims {
-			if h.until <= now {
-				delete(s.claims, attempt)
-			}
-		}
+		s.sweep(now, constants.ClaimKept)
 	}
 	if h := s.claims[c.Attempt]; h != nil && h.until > now {
 		outcome.Holder = h.holder
@@ -241,12 +268,36 @@
 		}
 		return outcome
 	}
+	if c.AgeMs > 0 && now-time.Duration(c.AgeMs)*time.Millisecond < max(k.since, s.forgot) {
+		outcome.State = schema.ClaimState_CLAIM_HELD
+		return outcome
+	}
+	if len(s.claims) >= constants.ClaimsMost/shards {
+		if s.sweep(now, constants.ClaimKeptLeast); len(s.claims) >= constants.ClaimsMost/shards {
+			outcome.State, outcome.LeftMs = schema.ClaimState_CLAIM_SILENT, uint32(constants.RetryAfter.Milliseconds())
+			return outcome
+		}
+	}
 	s.claims[c.Attempt] = &held{c.Digest, c.Holder, c.Number, c.Round, now + constants.ClaimKept}
 	outcome.State = schema.ClaimState_CLAIM_TAKEN
 	outcome.Holder = c.Holder
 	return outcome
 }
 
+func (s *shard) sweep(now, kept time.Duration) {
+	s.swept = now
+	for attempt, h := range s.claims {
+		at := h.until - constants.ClaimKept
+		if now-at < kept {
+			continue
+		}
+		delete(s.claims, attempt)
+		if kept < constants.ClaimKept {
+			s.forgot = max(s.forgot, at)
+		}
+	}
+}
+
 func (k *Keeper) end(c *schema.Claim) {
 	s := &k.shards[image.Weigh(c.Attempt)%shards]
 	s.lock.Lock()
--- a/internal/claim/claim_test.go
+++ b/internal/claim/claim_test.go
@@ -5,6 +5,8 @@
 	"testing"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"topazshed/internal/constants"
 	"topazshed/internal/schema"
 )
@@ -17,6 +19,67 @@
 	return list
 }
 
+func old(c *schema.Claim, age time.Duration) *schema.Claim {
+	c.AgeMs = uint64(age.Milliseconds())
+	return c
+}
+
+func TestManyClaimsAreCopiedInPagesAndBounded(t *testing.T) {
+	first := &schema.Keepers{Region: "r", Number: 1, Members: members("a", "b", "c"), First: true}
+	second := &schema.Keepers{Region: "r", Number: 2, Members: members("a", "b", "d"), Former: first.Members, Fenced: true}
+	source, other, fresh := NewKeeper("a", false), NewKeeper("b", false), NewKeeper("d", false)
+	for _, k := range []*Keeper{source, other, fresh} {
+		k.Adopt(0, first)
+	}
+	claimOf := func(i int, holder string, keepers uint64) *schema.Claim {
+		return &schema.Claim{Attempt: fmt.Sprintf("attempt-%06d", i), Digest: make([]byte, 16), Holder: holder, Keepers: keepers, Region: "r"}
+	}
+	const rate = 300
+	total := rate * int(constants.ClaimKept.Seconds())
+	now := time.Duration(0)
+	for i := range total {
+		now = time.Duration(i) * time.Second / rate
+		for _, k := range []*Keeper{source, other} {
+			if state := k.Take(now, claimOf(i, "p/1", 1), true).State; state != schema.ClaimState_CLAIM_TAKEN {
+				t.Fatalf("claim %d is %v", i, state)
+			}
+		}
+	}
+	for _, k := range []*Keeper{source, other, fresh} {
+		k.Adopt(now, second)
+	}
+	pages, largest := 0, 0
+	for range 100 {
+		for _, asking := range fresh.Ask(now) {
+			if from := map[string]*Keeper{"a": source, "b": other}[asking.Member.Id]; from != nil {
+				outcome := from.Copy(now, asking.Query)
+				pages++
+				largest = max(largest, proto.Size(outcome))
+				fresh.Copied(now, asking.Member.Id, outcome)
+			}
+		}
+	}
+	if pages < 4 || largest > constants.FrameLimit/4 {
+		t.Errorf("%d pages, the largest of %d bytes", pages, largest)
+	}
+	for i := range total {
+		if state := fresh.Take(now, claimOf(i, "p/2", 2), true).State; state != schema.ClaimState_CLAIM_HELD {
+			t.Fatalf("claim %d is %v after the copy", i, state)
+		}
+	}
+	for i := total; i < total+2*constants.ClaimsMost; i++ {
+		now += time.Second / 20000
+		source.Take(now, claimOf(i, "p/3", 2), true)
+	}
+	_, _, _, held := source.State()
+	if held > constants.ClaimsMost {
+		t.Errorf("%d claims are held", held)
+	}
+	if state := source.Take(now, old(claimOf(-1, "p/4", 2), constants.ClaimKept), true).State; state == schema.ClaimState_CLAIM_TAKEN {
+		t.Error("a keeper that had to forget takes an id that it may have forgotten")
+	}
+}
+
 func TestKeeper(t *testing.T) {
 	first := &schema.Keepers{Region: "r", Number: 1, Members: members("a", "b", "c"), First: true}
 	second := &schema.Keepers{Region: "r", Number: 2, Members: members("a", "b", "d"), Former: first.Members, Fenced: true}
@@ -73,6 +136,32 @@
 			k.Adopt(0, second)
 			k.Adopt(0, &schema.Keepers{Region: "r", Number: 2, Members: second.Members, Former: second.Former})
 		}, constants.ClaimWindow - time.Millisecond, claimOf("x", "p/1", 2), false, silent},
+		{"an id is still held off two minutes later", "a", false, func(k *Keeper) { k.Take(0, claimOf("x", "p/1", 1), true) }, 2 * time.Minute, claimOf("x", "p/2", 1), false, held},
+		{"also after its keepers have changed twice", "d", false, func(k *Keeper) {
+			k.Adopt(0, second)
+			for _, id := range []string{"a", "b"} {
+				k.Copied(0, id, &schema.ClaimCopyOutcome{Ready: true, Keepers: 2, Claims: []*schema.HeldClaim{{Attempt: "x", Holder: "p/9", LeftMs: 140000}}})
+			}
+		}, 2 * time.Minute, claimOf("x", "p/1", 2), false, held},
+		{"one first sent before a keeper's memory begins is held off", "d", false, func(k *Keeper) {
+			k.Adopt(0, second)
+			k.Adopt(0, &schema.Keepers{Region: "r", Number: 2, Members: second.Members, Former: second.Former})
+		}, constants.ClaimWindow, old(claimOf("x", "p/1", 2), constants.ClaimWindow+time.Millisecond), false, held},
+		{"one first sent since is taken", "d", false, func(k *Keeper) {
+			k.Adopt(0, second)
+			k.Adopt(0, &schema.Keepers{Region: "r", Number: 2, Members: second.Members, Former: second.Former})
+		}, constants.ClaimWindow, old(claimOf("x", "p/1", 2), constants.ClaimWindow-time.Millisecond), false, taken},
+		{"a copied memory reaches as far back as its sources'", "d", false, func(k *Keeper) {
+			k.Adopt(time.Minute, second)
+			k.Copied(time.Minute, "a", &schema.ClaimCopyOutcome{Ready: true, Keepers: 2, ReachMs: 5000})
+			k.Copied(time.Minute, "b", &schema.ClaimCopyOutcome{Ready: true, Keepers: 2})
+		}, time.Minute, old(claimOf("x", "p/1", 2), 6*time.Second), false, held},
+		{"a keeper is silent until the last page came", "d", false, func(k *Keeper) {
+			k.Adopt(0, second)
+			for _, id := range []string{"a", "b"} {
+				k.Copied(0, id, &schema.ClaimCopyOutcome{Ready: true, Keepers: 2, Next: 7})
+			}
+		}, time.Second, claimOf("x", "p/1", 2), false, silent},
 		{"a copy for another set counts for nothing", "d", false, func(k *Keeper) {
 			k.Adopt(0, second)
 			for _, id := range []string{"a", "b", "c"} {
--- a/internal/constants/constants.go
+++ b/internal/constants/constants.go
@@ -91,10 +91,18 @@
 	// VitalsFails (probes) in a row make a back end failing at one proxy.
 	VitalsFails = 2
 
-	// ClaimWindow (time) is how long an attempt id is good for after its first sending, and the longest wait of an unsafe query; documented to callers.
+	// ClaimWindow (time) is the longest wait of an unsafe query, and what must be waited out when most keepers of an id are lost: short, since service must be back in 15 s.
 	ClaimWindow = 6 * time.Second
-	// ClaimKept (time) is how long a keeper remembers a claim: two windows.
-	ClaimKept = 2 * ClaimWindow
+	// ClaimKept (time) is how long a keeper remembers a claim: a caller's person who tries again within two minutes is still held off; at 300 unsafe queries a second and three keepers of five it is 27000 claims a keeper.
+	ClaimKept = 150 * time.Second
+	// ClaimKeptLeast (time) is how long a claim is remembered even by a keeper that has no more room.
+	ClaimKeptLeast = 2 * ClaimWindow
+	// ClaimsMost (claims) a keeper holds: about 50 MB; above it the oldest beyond ClaimKeptLeast are forgotten first.
+	ClaimsMost = 200000
+	// ClaimPage (claims) are copied to another keeper at once, and the rest of one shard: a quarter of a frame at the most.
+	ClaimPage = 8192
+	// AgeMost (time) is the oldest first sending that a caller may tell.
+	AgeMost = 24 * time.Hour
 	// ClaimReplicas (keepers) hold one claim.
 	ClaimReplicas = 3
 	// ClaimWait (time) bounds one claim round: keepers are 1 ms away, the rest is for a busy machine.
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -63,6 +63,7 @@
 	GrantUntil time.Duration
 	ThawedAt   time.Duration
 	Fences     map[string]time.Duration
+	Opened     map[string]time.Duration
 	TickAt     time.Duration
 	PeersAt    time.Duration
 	Leader     string
@@ -168,6 +169,8 @@
 	imageAt    uint64
 	told       uint64
 	fences     map[string]time.Duration
+	opened     map[string]time.Duration
+	openedAs   map[string]uint64
 	addresses  map[string]string
 	toldAt     time.Duration
 }
@@ -178,7 +181,7 @@
 		table: image.NewTable(), view: image.NewView(), rost: roster.New(), beats: map[uint64]time.Duration{}, held: map[string]bool{},
 		wanted: map[string]time.Duration{}, subs: map[uint64]time.Duration{}, subscriber: map[string]*subscriber{}, nodes: map[string]*granted{},
 		releasedAt: map[uint64]time.Duration{}, reads: map[uint64]*waiter{}, seeds: map[string]time.Duration{}, empties: map[string]bool{},
-		peers: map[string]time.Duration{}, pending: map[string]uint64{}, verdicts: map[uint64]string{}, fences: map[string]time.Duration{}, addresses: map[string]string{}, now: now, tickedAt: now}
+		peers: map[string]time.Duration{}, pending: map[string]uint64{}, verdicts: map[uint64]string{}, fences: map[string]time.Duration{}, opened: map[string]time.Duration{}, openedAs: map[string]uint64{}, addresses: map[string]string{}, now: now, tickedAt: now}
 	c.near = neighbours.New(neighbours.Options{Self: c.self, Seeds: options.Seeds, Draw: options.Draw})
 	if options.Self.Disk {
 		if options.Image != nil {
@@ -679,7 +682,9 @@
 		case strings.Contains(row.Key, "/standing/"):
 			isFenced = image.Decode[schema.Standing](row).GetFenced()
 		case strings.Contains(row.Key, "/entity/"):
-			isFenced = image.Decode[schema.Entity](row).GetFenced()
+			entity := image.Decode[schema.Entity](row)
+			isFenced = entity.GetFenced()
+			c.noteOpened(row.Key, entity)
 		default:
 			continue
 		}
@@ -698,9 +703,18 @@
 	}
 }
 
+func (c *Core) noteOpened(key string, entity *schema.Entity) {
+	if entity == nil || entity.Fenced || c.openedAs[key] == entity.Number {
+		return
+	}
+	c.openedAs[key] = entity.Number
+	c.opened = maps.Clone(c.opened)
+	c.opened[key] = c.now
+}
+
 // Local gives what the hot path may rely on now.
 func (c *Core) Local() *Local {
-	l := &Local{View: c.view, Held: c.held, IsFull: c.isFull(), FreshAt: c.freshAt, GrantUntil: c.grantUntil, Fences: c.fences, ThawedAt: c.thawedAt, TickAt: c.tickedAt,
+	l := &Local{View: c.view, Held: c.held, IsFull: c.isFull(), FreshAt: c.freshAt, GrantUntil: c.grantUntil, Fences: c.fences, Opened: c.opened, ThawedAt: c.thawedAt, TickAt: c.tickedAt,
 		Leader: c.leader, System: c.system, ListAt: c.listAt, ListFault: c.listFault, Suspects: c.near.Suspects(), Known: len(c.near.Known()), Rows: c.table.Size(),
 		IsStopping: c.self.State == schema.NodeState_NODE_STOPPING, Role: "reader"}
 	if c.quorum != nil {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -389,14 +389,13 @@
 			return
 		case <-ticker.C:
 		}
-		members, query := n.keeper.Ask(n.Now())
-		for _, m := range members {
+		for _, asking := range n.keeper.Ask(n.Now()) {
 			n.tasks.Go(func() {
 				ctx, cancel := context.WithTimeout(n.context, constants.ClaimWait)
 				defer cancel()
-				f, err := n.Call(ctx, m.Address, &schema.Frame{Body: &schema.Frame_ClaimCopy{ClaimCopy: query}})
+				f, err := n.Call(ctx, asking.Member.Address, &schema.Frame{Body: &schema.Frame_ClaimCopy{ClaimCopy: asking.Query}})
 				if err == nil && f.GetClaimCopyOutcome() != nil {
-					n.keeper.Copied(n.Now(), m.Id, f.GetClaimCopyOutcome())
+					n.keeper.Copied(n.Now(), asking.Member.Id, f.GetClaimCopyOutcome())
 				}
 			})
 		}
--- a/internal/proxy/course.go
+++ b/internal/proxy/course.go
@@ -183,7 +183,11 @@
 }
 
 func (c *Course) situation() Situation {
-	return Situation{Now: c.now, Local: c.local, Self: c.Self, Query: c.Query, Load: c.Loads, Tried: c.tried, IsClaimed: c.isClaimed, Parked: c.parked(), Left: c.until - c.now, Draw: c.Draw}
+	s := Situation{Now: c.now, Local: c.local, Self: c.Self, Query: c.Query, Load: c.Loads, Tried: c.tried, IsClaimed: c.isClaimed, Parked: c.parked(), Left: c.until - c.now, Draw: c.Draw}
+	if c.Query.Age > 0 {
+		s.FirstSent = c.Begun - c.Query.Age
+	}
+	return s
 }
 
 func (c *Course) turn(keeps bool) Order {
@@ -260,11 +264,18 @@
 	order := Order{Kind: OrderClaim, For: constants.ClaimWait}
 	for _, m := range members {
 		order.Claims = append(order.Claims, ClaimCall{m, &schema.Claim{Attempt: c.Query.Attempt, Digest: c.Query.Digest, Holder: c.Holder, Number: d.Owner.Number,
-			Keepers: d.Keepers.Number, Region: d.Keepers.Region, Round: c.round, WaitMs: uint32(c.Query.Wait.Milliseconds())}})
+			Keepers: d.Keepers.Number, Region: d.Keepers.Region, Round: c.round, WaitMs: uint32(c.Query.Wait.Milliseconds()), AgeMs: uint64(c.age().Milliseconds())}})
 	}
 	return order
 }
 
+func (c *Course) age() time.Duration {
+	if c.Query.Age == 0 {
+		return 0
+	}
+	return c.Query.Age + c.now - c.Begun
+}
+
 func (c *Course) claimed(e Event) Order {
 	c.asked--
 	switch e.Claimed.GetState() {
@@ -285,7 +296,7 @@
 	}
 	if c.elsewhere > 0 {
 		return c.release(&DeclineError{Status: http.StatusConflict, Kind: "attempt-held", Outcome: OutcomeDoubtful, RetryAfter: constants.RetryAfter,
-			Message: "another leg of this attempt id runs or ran; its outcome is not known here"}, true)
+			Message: "another leg of this attempt id runs or ran, or may have run before its keepers' memory begins; its outcome is not known here"}, true)
 	}
 	c.parkedAt = cmp.Or(c.parkedAt, c.now)
 	return c.release(nil, false)
@@ -400,6 +411,9 @@
 	left := c.until - c.now
 	header := c.header(left)
 	header.Set(HeaderForwarded, c.decision.Owner.Trail.String())
+	if age := c.age(); age > 0 {
+		header.Set(HeaderAge, strconv.FormatInt(age.Milliseconds(), 10))
+	}
 	c.phase = phaseForward
 	return Order{Kind: OrderSend, For: left, Path: "/" + c.Query.Service + c.Query.Path, Header: header, Limit: c.decision.Entry.OutcomeLimit + 4096, IsBound: true}
 }
--- a/internal/proxy/decider.go
+++ b/internal/proxy/decider.go
@@ -61,6 +61,7 @@
 	IsClaimed bool
 	Parked    time.Duration
 	Left      time.Duration
+	FirstSent time.Duration
 	Draw      func(int64) int64
 }
 
@@ -178,6 +179,10 @@
 	if !d.IsSafe {
 		if set := view.Keepers[owner.Region]; set == nil {
 			return park("no-keepers", "region %s has no keepers yet; send again", owner.Region)
+		} else if s.FirstSent > 0 && owner.Moved && s.FirstSent < s.Local.Opened[image.EntityKey(entry.Service, entry.Path)] {
+			e := declineLater("attempt-old", "the id was first sent before entry %s%s moved here, where its keepers can't know it; ask its service whether it ran, or use a new id", entry.Service, entry.Path)
+			e.Status, e.Outcome = http.StatusConflict, OutcomeDoubtful
+			return refuse(e)
 		} else if !s.IsClaimed {
 			d.Keepers, d.Turn = set, TurnClaim
 			return d, false
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -131,6 +131,22 @@
 		}(), func(s *Situation) {
 			s.Local.Fences = map[string]time.Duration{image.EntityKey("ledger", "/pay"): noon - 2*time.Second}
 		}, unsafe(), TurnDecline, "fenced", ""},
+		{"an id that is older than its entry's move is doubtful", func() *world {
+			w := base(all...)
+			w.put("", image.Put(image.EntityKey("ledger", "/pay"), &schema.Entity{Service: "ledger", Path: "/pay", Region: "north", Number: 201, Far: true}))
+			return w
+		}(), func(s *Situation) {
+			s.FirstSent = noon - time.Minute
+			s.Local.Opened = map[string]time.Duration{image.EntityKey("ledger", "/pay"): noon - time.Second}
+		}, unsafe(), TurnDecline, "attempt-old", ""},
+		{"a younger one is claimed", func() *world {
+			w := base(all...)
+			w.put("", image.Put(image.EntityKey("ledger", "/pay"), &schema.Entity{Service: "ledger", Path: "/pay", Region: "north", Number: 201, Far: true}))
+			return w
+		}(), func(s *Situation) {
+			s.FirstSent = noon - time.Second
+			s.Local.Opened = map[string]time.Duration{image.EntityKey("ledger", "/pay"): noon - time.Minute}
+		}, unsafe(), TurnClaim, "", ""},
 		{"a region's origin does not fit a bound entry", base(all...), func(s *Situation) { s.Query.Origin = standing.Origin{Region: "north"} }, unsafe(), TurnDecline, "bad-origin", ""},
 		{"an emptied district serves nothing", func() *world {
 			w := base(all...)
--- a/internal/proxy/query.go
+++ b/internal/proxy/query.go
@@ -21,6 +21,7 @@
 	HeaderWait      = "Topazshed-Wait"
 	HeaderOrigin    = "Topazshed-Origin"
 	HeaderKey       = "Topazshed-Key"
+	HeaderAge       = "Topazshed-Age"
 	HeaderForwarded = "Topazshed-Forwarded"
 	HeaderOutcome   = "Topazshed-Outcome"
 	HeaderService   = "Topazshed-Service"
@@ -46,6 +47,7 @@
 	Method    string
 	Attempt   string
 	Wait      time.Duration
+	Age       time.Duration
 	Origin    standing.Origin
 	OriginRaw string
 	Key       string
@@ -128,6 +130,13 @@
 		return nil, decline(http.StatusBadRequest, "bad-wait", "send %s in milliseconds, from 1 to %d", HeaderWait, constants.WaitMost.Milliseconds())
 	}
 	q.Wait = time.Duration(wait) * time.Millisecond
+	if text := r.Header.Get(HeaderAge); text != "" {
+		age, err := strconv.ParseInt(text, 10, 64)
+		if err != nil || age < 0 || age > constants.AgeMost.Milliseconds() {
+			return nil, decline(http.StatusBadRequest, "bad-age", "send %s in milliseconds since the first sending whose outcome you do not know, at most %d, or leave it out", HeaderAge, constants.AgeMost.Milliseconds())
+		}
+		q.Age = time.Duration(age) * time.Millisecond
+	}
 	q.OriginRaw = r.Header.Get(HeaderOrigin)
 	q.Origin, err = standing.ParseOrigin(q.OriginRaw)
 	if err != nil {
--- a/internal/sim/scenarios.go
+++ b/internal/sim/scenarios.go
@@ -442,6 +442,14 @@
 		f.RunFor(4 * time.Second)
 		return f.settled()
 	}},
+	{"frozen-leg", "a proxy freezes between the last check of an unsafe leg and its writing; its caller repeats the id", Options{}, func(f *Fleet) error {
+		for range 3 {
+			f.freezeLeg = time.Duration(3+f.random.Intn(18)) * time.Second
+			f.RunFor(9 * time.Second)
+		}
+		f.RunFor(14 * time.Second)
+		return f.settled()
+	}},
 	{"bad-list", "the platform's list is empty, short, repeated, lacks pages, or is an old small one", Options{}, func(f *Fleet) error {
 		count := func(n *Node) int {
 			total := 0
--- a/internal/sim/sim.go
+++ b/internal/sim/sim.go
@@ -315,14 +315,12 @@
 	f.on(n, boot, func() {
 		n.core.Tick(f.clock(n))
 		f.perform(n)
-		if members, query := n.keeper.Ask(f.clock(n)); query != nil {
-			for _, m := range members {
-				f.call(n, m.Address, &schema.Frame{Body: &schema.Frame_ClaimCopy{ClaimCopy: query}}, func(o *schema.Frame) {
-					if outcome := o.GetClaimCopyOutcome(); outcome != nil {
-						n.keeper.Copied(f.clock(n), m.Id, outcome)
-					}
-				})
-			}
+		for _, asking := range n.keeper.Ask(f.clock(n)) {
+			f.call(n, asking.Member.Address, &schema.Frame{Body: &schema.Frame_ClaimCopy{ClaimCopy: asking.Query}}, func(o *schema.Frame) {
+				if outcome := o.GetClaimCopyOutcome(); outcome != nil {
+					n.keeper.Copied(f.clock(n), asking.Member.Id, outcome)
+				}
+			})
 		}
 		f.after(constants.Tick, func() { f.tick(n, boot) })
 	})
--- a/internal/sim/traffic.go
+++ b/internal/sim/traffic.go
@@ -32,6 +32,7 @@
 	Attempt, Method, Service, Path, Region, Key string
 	Wait                                        time.Duration
 	HasTwin                                     bool
+	Age                                         time.Duration
 }
 
 func (a Ask) isUnsafe() bool { return a.Method != http.MethodGet }
@@ -468,6 +469,9 @@
 	request.Header.Set(proxy.HeaderWait, strconv.FormatInt(max(1, left.Milliseconds()), 10))
 	request.Header.Set(proxy.HeaderOrigin, match.Origin)
 	request.Header.Set("X-Send", r.Send)
+	if a.Age > 0 {
+		request.Header.Set(proxy.HeaderAge, strconv.FormatInt(a.Age.Milliseconds()+1, 10))
+	}
 	if a.Key != "" {
 		request.Header.Set(proxy.HeaderKey, a.Key)
 	}
@@ -513,6 +517,9 @@
 		call.Sends++
 		ask := a
 		ask.Wait = left
+		if isDoubtful && call.IsUnsafe {
+			ask.Age = f.Now - call.At
+		}
 		f.send(ask, call.Sends, func(r *judge.Reply) {
 			pause := time.Duration(100+f.random.Intn(100)*min(call.Sends, 6)) * time.Millisecond
 			if r == nil {
@@ -567,6 +574,18 @@
 				}
 			case 0:
 				a.Method, a.Service, a.Path = http.MethodPost, "service1", "/pay"
+				if i%9 == 0 {
+					a.HasTwin = true
+					late := a
+					late.Age = time.Duration(8+f.random.Intn(24)) * time.Second
+					f.after(late.Age, func() {
+						f.send(late, 92, func(r *judge.Reply) {
+							if r != nil {
+								f.Counts["late repeat "+r.Outcome]++
+							}
+						})
+					})
+				}
 				if i%7 == 0 {
 					twin := a
 					a.HasTwin = true
--- a/internal/standing/standing.go
+++ b/internal/standing/standing.go
@@ -70,6 +70,7 @@
 	Fenced   bool
 	Fence    string
 	Far      bool
+	Moved    bool
 }
 
 // Trail is the numbers that were followed, in order: entity row, region rows. The first that differs decides which is newer.
@@ -128,6 +129,7 @@
 			return Owner{}, &ResolveError{"entry " + entry.Service + entry.Path + " has no entity row yet"}
 		}
 		region = regionOf(view, entity.Number)
+		owner.Moved = entity.Far
 		hold(entity.Fenced, true, image.EntityKey(entry.Service, entry.Path))
 		owner.Trail = append(owner.Trail, entity.Number)
 	} else if region == "" {
@@ -416,7 +418,7 @@
 		if row.GetFenced() {
 			if at := table.Get(key); at != nil && clear(at.Index, true) {
 				guard(key)
-				record.Rows = append(record.Rows, image.Put(key, &schema.Entity{Service: row.Service, Path: row.Path, Region: row.Region, Number: row.Number, Reason: row.Reason}))
+				record.Rows = append(record.Rows, image.Put(key, &schema.Entity{Service: row.Service, Path: row.Path, Region: row.Region, Number: row.Number, Reason: row.Reason, Far: row.Far}))
 			}
 		}
 		return
@@ -428,7 +430,7 @@
 	}
 	guard(key)
 	record.Rows = append(record.Rows, image.Put(key, &schema.Entity{Service: entry.Service, Path: entry.Path, Region: next,
-		Number: Next(row.GetNumber(), view.Regions[next].Residue), Reason: reason, Fenced: row != nil, Far: true}))
+		Number: Next(row.GetNumber(), view.Regions[next].Residue), Reason: reason, Fenced: row != nil, Far: row != nil}))
 }
 
 func regionGroups(view *image.View, region string) []string {
