A slow disk no longer stalls its machine; disks fail in the simulator as they do

Cause: the owner waited for each sync, so a slow disk stopped beats, deltas and ticks of its machine, and its proxy declined as if frozen. And the simulator dropped a failing sync's error at one place and turned a slow one into a frozen machine, so handing over and ending were unproved. Now the driver writes beside the owner, which goes on with what rests on nothing unwritten; the simulator's slow sync is kept only when it is over, a failing one ends the process, and power can go at the n-th write or sync. Each machine's votes are checked: one a term.

Ruled out: sending raft messages past the sync (a yes or a vote must be on disk).

New scenarios: slow-disk (0.1, 0.4, 0.9, 3 s at the leader and another voter), failing-disk, power, wiped-after-yes.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -764,6 +764,13 @@
 	return effects
 }
 
+// TakeUnbound gives the effects that rest on nothing unwritten, while the disk is busy with the rest.
+func (c *Core) TakeUnbound() Effects {
+	effects := Effects{Sends: c.effects.Sends, Outcomes: c.effects.Outcomes}
+	c.effects = Effects{}
+	return effects
+}
+
 func (c *Core) addressOf(id string) string {
 	if address := c.addresses[id]; address != "" {
 		return address
--- a/internal/core/driver.go
+++ b/internal/core/driver.go
@@ -8,7 +8,8 @@
 	"topazshed/internal/schema"
 )
 
-// Driver performs a Core's effects in their order: sync, apply, send, answer. The shell and the simulator both use it.
+// Driver performs a Core's effects in their order: write, apply, send, answer. The shell and the simulator both use it.
+// Write carries out work on the disk and then has done called by the Core's owner; meanwhile what rests on nothing unwritten goes on.
 type Driver struct {
 	Core    *Core
 	Journal *journal.Journal
@@ -17,66 +18,95 @@
 	Answer  func(Outcome)
 	Synced  func(took time.Duration, err error)
 	Publish func()
+	Write   func(work func() error, done func(error))
+	isBusy  bool
+	failed  error
 }
 
-// Perform works until nothing is due.
+// Perform works until nothing is due or the disk is busy; its error is the disk's, after which nothing may be said any more.
 func (d *Driver) Perform() error {
-	for {
+	for !d.isBusy && d.failed == nil {
 		effects := d.Core.Take()
 		if !effects.IsWork {
 			break
 		}
 		if d.Journal != nil && (effects.Hard != nil || len(effects.Quorum.Items) > 0 || effects.Quorum.Image != nil) {
-			begun := d.Now()
-			err := d.sync(effects)
-			d.Synced(d.Now()-begun, err)
-			if err != nil {
+			d.store(effects, false)
+			continue
+		}
+		d.finish(effects)
+	}
+	if d.failed != nil {
+		return d.failed
+	}
+	if d.Journal != nil && !d.isBusy && (d.Core.Compactable() || d.Journal.NeedsImage()) {
+		d.compact(func() {})
+	}
+	if d.isBusy {
+		d.tell(d.Core.TakeUnbound())
+	}
+	d.Publish()
+	return d.failed
+}
+
+func (d *Driver) write(work func() error, done func(error)) {
+	d.isBusy = true
+	begun := d.Now()
+	d.Write(work, func(err error) {
+		d.isBusy = false
+		d.Synced(d.Now()-begun, err)
+		done(err)
+	})
+}
+
+func (d *Driver) store(effects Effects, isAgain bool) {
+	d.write(func() error {
+		if image := effects.Quorum.Image; image != nil && d.Journal.ImageIndex() < image.Index {
+			if err := d.Journal.PutImage(image); err != nil {
 				return err
 			}
 		}
-		d.Core.Synced(d.Now(), effects)
-		d.Publish()
-		for _, s := range effects.Sends {
-			d.Send(s.To, s.Frame)
-		}
-		for _, o := range effects.Outcomes {
-			d.Answer(o)
+		return d.Journal.Append(effects.Hard, effects.Quorum.Items)
+	}, func(err error) {
+		var full *journal.FullError
+		switch {
+		case errors.As(err, &full) && !isAgain:
+			d.compact(func() { d.store(effects, true) })
+		case err != nil:
+			d.failed = err
+		default:
+			d.finish(effects)
 		}
-	}
-	if d.Journal != nil && (d.Core.Compactable() || d.Journal.NeedsImage()) {
-		if err := d.compact(); err != nil {
-			return err
-		}
-	}
+	})
+}
+
+func (d *Driver) finish(effects Effects) {
+	d.Core.Synced(d.Now(), effects)
 	d.Publish()
-	return nil
+	d.tell(effects)
 }
 
-func (d *Driver) compact() error {
-	whole := d.Core.Whole()
-	if whole.Index == 0 || d.Journal.ImageIndex() >= whole.Index {
-		return nil
+func (d *Driver) tell(effects Effects) {
+	for _, s := range effects.Sends {
+		d.Send(s.To, s.Frame)
 	}
-	if err := d.Journal.PutImage(whole); err != nil {
-		return err
+	for _, o := range effects.Outcomes {
+		d.Answer(o)
 	}
-	d.Core.Compacted(whole.Index)
-	return nil
 }
 
-func (d *Driver) sync(effects Effects) error {
-	if effects.Quorum.Image != nil {
-		if err := d.Journal.PutImage(effects.Quorum.Image); err != nil {
-			return err
-		}
+func (d *Driver) compact(next func()) {
+	whole := d.Core.Whole()
+	if whole.Index == 0 || d.Journal.ImageIndex() >= whole.Index {
+		next()
+		return
 	}
-	err := d.Journal.Append(effects.Hard, effects.Quorum.Items)
-	var full *journal.FullError
-	if errors.As(err, &full) {
-		if err := d.compact(); err != nil {
-			return err
+	d.write(func() error { return d.Journal.PutImage(whole) }, func(err error) {
+		if err != nil {
+			d.failed = err
+			return
 		}
-		err = d.Journal.Append(effects.Hard, effects.Quorum.Items)
-	}
-	return err
+		d.Core.Compacted(whole.Index)
+		next()
+	})
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -268,13 +268,20 @@
 }
 
 func (n *Node) driver() *core.Driver {
-	return &core.Driver{Core: n.core, Journal: n.journal, Now: n.Now, Send: n.net.Send, Publish: n.publish, Synced: n.synced, Answer: func(o core.Outcome) {
+	return &core.Driver{Core: n.core, Journal: n.journal, Now: n.Now, Send: n.net.Send, Publish: n.publish, Synced: n.synced, Write: n.write, Answer: func(o core.Outcome) {
 		if answer, isThere := n.operates.LoadAndDelete(o.Ticket); isThere {
 			answer.(chan *schema.OperatorOutcome) <- o.Outcome
 		}
 	}}
 }
 
+func (n *Node) write(work func() error, done func(error)) {
+	n.tasks.Go(func() {
+		err := work()
+		n.do(func() { done(err) })
+	})
+}
+
 func (n *Node) synced(took time.Duration, err error) {
 	disk := *n.disk.Load()
 	disk.LastSyncMs, disk.WorstMs = took.Milliseconds(), max(disk.WorstMs, took.Milliseconds())
--- a/internal/sim/disk.go
+++ b/internal/sim/disk.go
@@ -1,7 +1,9 @@
 package sim
 
 import (
+	"fmt"
 	"math/rand"
+	"strings"
 
 	"topazshed/internal/journal"
 )
@@ -12,6 +14,7 @@
 }
 
 type area struct {
+	name       string
 	live, kept []byte
 	pending    []write
 	disk       *Disk
@@ -22,6 +25,10 @@
 	areas map[string]*area
 	Syncs int
 	Fault error
+	// Only, where it is set, is the one kind of file that Fault strikes: ring or image.
+	Only   string
+	isHeld bool
+	left   int
 }
 
 // NewDisk makes an empty disk.
@@ -31,7 +38,7 @@
 func (d *Disk) Area(name string, size int64) (journal.Area, error) {
 	a := d.areas[name]
 	if a == nil {
-		a = &area{live: make([]byte, size), kept: make([]byte, size), disk: d}
+		a = &area{name: name, live: make([]byte, size), kept: make([]byte, size), disk: d}
 		d.areas[name] = a
 	}
 	return a, nil
@@ -40,23 +47,52 @@
 func (a *area) ReadAt(p []byte, at int64) (int, error) { return copy(p, a.live[at:]), nil }
 
 func (a *area) WriteAt(p []byte, at int64) (int, error) {
-	if a.disk.Fault != nil {
-		return 0, a.disk.Fault
+	if err := a.fault(); err != nil {
+		return 0, err
 	}
 	a.pending = append(a.pending, write{at, append([]byte(nil), p...)})
 	return copy(a.live[at:], p), nil
 }
 
 func (a *area) Sync() error {
-	if a.disk.Fault != nil {
-		return a.disk.Fault
+	if err := a.fault(); err != nil {
+		return err
 	}
 	a.disk.Syncs++
+	if a.disk.isHeld {
+		return nil
+	}
+	a.flush()
+	return nil
+}
+
+// CutAfter lets that many writes and syncs through; the next fails as if the power had gone.
+func (d *Disk) CutAfter(count int) { d.left = count + 1 }
+
+func (a *area) fault() error {
+	if a.disk.left > 0 {
+		if a.disk.left--; a.disk.left == 0 {
+			a.disk.Fault, a.disk.Only = fmt.Errorf("power lost"), ""
+		}
+	}
+	if a.disk.Fault != nil && strings.HasPrefix(a.name, a.disk.Only) {
+		return a.disk.Fault
+	}
+	return nil
+}
+
+// Flush keeps what a slow sync has now finished.
+func (d *Disk) Flush() {
+	for _, a := range d.areas {
+		a.flush()
+	}
+}
+
+func (a *area) flush() {
 	for _, w := range a.pending {
 		copy(a.kept[w.at:], w.bytes)
 	}
 	a.pending = nil
-	return nil
 }
 
 func (a *area) Size() int64 { return int64(len(a.live)) }
--- a/internal/sim/scenarios.go
+++ b/internal/sim/scenarios.go
@@ -11,6 +11,31 @@
 	"topazshed/internal/standing"
 )
 
+func (f *Fleet) leader() *Node {
+	for range 100 {
+		if leader := f.Leader(); leader != nil {
+			return leader
+		}
+		f.RunFor(100 * time.Millisecond)
+	}
+	return f.pick(func(n *Node) bool { return n.HasDisk })
+}
+
+func (f *Fleet) change() {
+	n := f.pick(func(n *Node) bool { return n.IsUp })
+	f.Operate(n, &schema.OperatorQuery{Kind: schema.OperatorKind_OPERATOR_PUT, Document: []byte(DefaultDocument), Base: f.accepted}, func(*schema.OperatorOutcome) {})
+}
+
+func (f *Fleet) reads() error {
+	for range 40 {
+		if o := f.Show(f.pick(func(n *Node) bool { return n.IsUp })); o != nil && o.Decline == schema.DeclineKind_DECLINE_NONE {
+			return nil
+		}
+		f.RunFor(250 * time.Millisecond)
+	}
+	return fmt.Errorf("no read-back within 10 s at %v", f.Now)
+}
+
 func (f *Fleet) owner(service, path string) standing.Owner {
 	for _, n := range f.Nodes {
 		view := f.View(n)
@@ -267,18 +292,93 @@
 		}
 		return f.settled()
 	}},
-	{"slow-disk", "the leader's disk turns slow, then fails", Options{}, func(f *Fleet) error {
-		leader := f.Leader()
-		if leader == nil {
-			return nil
+	{"slow-disk", "the disks of the leader and of another voter take 0.1 to 3 s for each sync", Options{}, func(f *Fleet) error {
+		for _, pause := range []time.Duration{100, 400, 900, 3000} {
+			slow := []*Node{f.leader(), f.pick(func(n *Node) bool { return n.HasDisk })}
+			for _, n := range slow {
+				f.SlowDisk(n, pause*time.Millisecond)
+			}
+			f.RunFor(2 * time.Second)
+			f.change()
+			f.RunFor(4 * time.Second)
+			for _, n := range slow {
+				f.SlowDisk(n, 0)
+			}
+			f.RunFor(2 * time.Second)
 		}
-		f.SlowDisk(leader, 400*time.Millisecond)
-		f.RunFor(8 * time.Second)
-		f.SlowDisk(leader, 0)
-		if leader = f.Leader(); leader != nil {
-			leader.disk.Fault = fmt.Errorf("no room")
+		f.RunFor(4 * time.Second)
+		return f.settled()
+	}},
+	{"failing-disk", "disks fail to write and to sync, their rings, then their images; the processes end and come back, one wiped", Options{}, func(f *Fleet) error {
+		for i, kind := range []string{"ring", "image", ""} {
+			n := f.leader()
+			if i == 1 {
+				n = f.pick(func(n *Node) bool { return n.HasDisk && n.IsUp })
+			}
+			n.disk.Fault, n.disk.Only = fmt.Errorf("no room"), kind
+			for range 3 {
+				f.change()
+				f.RunFor(time.Second)
+			}
+			if n.IsUp && kind != "image" {
+				return fmt.Errorf("%s goes on with a disk that fails", n.Name)
+			}
+			if n.IsUp {
+				f.Kill(n)
+			}
+			if f.Mend(n); i == 2 {
+				f.Wipe(n)
+			}
+			f.Start(n)
+			f.RunFor(6 * time.Second)
+		}
+		return f.reads()
+	}},
+	{"power", "the power of the leader or of another voter goes at each step of a put's way to the disk", Options{}, func(f *Fleet) error {
+		for step := range 8 {
+			n := f.leader()
+			if f.random.Intn(3) == 0 {
+				n = f.pick(func(n *Node) bool { return n.HasDisk && n.IsUp })
+			}
+			n.disk.CutAfter(step)
+			f.change()
+			f.RunFor(time.Second)
+			if n.IsUp {
+				f.Kill(n)
+			}
+			f.Mend(n)
+			f.Start(n)
+			f.RunFor(3 * time.Second)
+			if err := f.reads(); err != nil {
+				return err
+			}
+		}
+		return f.settled()
+	}},
+	{"wiped-after-yes", "the disks of the leader and of another voter are lost right after a put was accepted", Options{}, func(f *Fleet) error {
+		for range 3 {
+			leader := f.leader()
+			other := f.pick(func(n *Node) bool { return n.HasDisk && n.IsUp && n != leader })
+			before := f.accepted
+			f.change()
+			for i := 0; f.accepted == before && i < 300; i++ {
+				f.RunFor(10 * time.Millisecond)
+			}
+			lost := []*Node{leader, other}
+			for _, n := range lost {
+				f.Kill(n)
+				f.Wipe(n)
+			}
+			f.RunFor(time.Duration(f.random.Intn(3000)) * time.Millisecond)
+			for _, n := range lost {
+				f.Start(n)
+			}
+			f.RunFor(6 * time.Second)
+			if err := f.reads(); err != nil {
+				return err
+			}
+			f.RunFor(8 * time.Second)
 		}
-		f.RunFor(8 * time.Second)
 		return f.settled()
 	}},
 	{"puts", "configurations in bursts, racing, amid a leader's end", Options{}, func(f *Fleet) error {
@@ -583,6 +683,7 @@
 	{"stale", "nodes decide on an image that is 12 s old", "emptied", "rule emptied"},
 	{"read-back", "the door tells an older version", "puts", "rule read-back"},
 	{"race", "a put's base is forged", "puts", "rule read-back"},
+	{"unsynced", "disks tell of syncs that were none", "all-killed", "two leaders in term"},
 	{"stop", "a planned stop does not wait", "rolling", "rule dropped"},
 	{"budget", "the repeat budget counts first legs twenty times", "bad-outcomes", "rule repeats"},
 	{"cold", "proxies do not see the cold mark", "all-cold", "rule cold"},
--- a/internal/sim/sim.go
+++ b/internal/sim/sim.go
@@ -123,6 +123,7 @@
 	numbers   map[string]uint64
 	trails    map[string]standing.Trail
 	matches   map[string]*found
+	votes     map[string]string
 	cutAt     map[string]time.Duration
 	accepted  uint64
 	accepts   map[uint64]time.Duration
@@ -146,7 +147,7 @@
 		writer = io.Discard
 	}
 	f := &Fleet{Options: o, random: rand.New(rand.NewSource(o.Seed)), cuts: map[[2]string]bool{}, lastAt: map[[2]string]time.Duration{}, Counts: map[string]int{}, Lost: map[string]int{}, Back: map[string]time.Duration{},
-		leaders: map[uint64]string{}, applied: map[uint64][32]byte{}, numbers: map[string]uint64{}, trails: map[string]standing.Trail{}, matches: map[string]*found{}, cutAt: map[string]time.Duration{}, stale: map[string]*core.Local{}, shown: map[string]string{}, accepts: map[uint64]time.Duration{},
+		leaders: map[uint64]string{}, applied: map[uint64][32]byte{}, numbers: map[string]uint64{}, trails: map[string]standing.Trail{}, matches: map[string]*found{}, cutAt: map[string]time.Duration{}, votes: map[string]string{}, stale: map[string]*core.Local{}, shown: map[string]string{}, accepts: map[uint64]time.Duration{},
 		Bytes: map[string]int{}, Frames: map[string]int{}, sentTo: map[string]int{}}
 	f.History = judge.NewHistory(func() time.Duration { return f.Now }, regionOf)
 	f.log = slog.New(slog.NewTextHandler(writer, nil))
@@ -261,11 +262,12 @@
 	n.driver = &core.Driver{Core: n.core, Journal: j, Now: func() time.Duration { return f.clock(n) },
 		Send:   func(to string, frame *schema.Frame) { f.transmit(n, to, frame) },
 		Answer: func(o core.Outcome) { f.answer(n, o) },
-		Synced: func(time.Duration, error) {
-			if n.syncPause > 0 {
-				n.frozen = max(n.frozen, f.Now+n.syncPause)
+		Synced: func(took time.Duration, err error) {
+			if took > constants.SlowSync {
+				n.core.SlowDisk(f.clock(n))
 			}
 		},
+		Write: func(work func() error, done func(error)) { f.write(n, boot, work, done) },
 		Publish: func() {
 			if set := n.core.Local().View.Keepers[n.Region]; set != nil {
 				n.keeper.Adopt(f.clock(n), set)
@@ -305,6 +307,26 @@
 	f.check(n)
 }
 
+func (f *Fleet) write(n *Node, boot int, work func() error, done func(error)) {
+	disk := n.disk
+	disk.isHeld = n.syncPause > 0 || f.Options.Breach == "unsynced"
+	err := work()
+	disk.isHeld = false
+	if n.syncPause == 0 {
+		done(err)
+		return
+	}
+	f.after(n.syncPause, func() {
+		if n.IsUp && n.Boot == boot && err == nil {
+			disk.Flush()
+		}
+		f.on(n, boot, func() {
+			done(err)
+			f.perform(n)
+		})
+	})
+}
+
 func (f *Fleet) perform(n *Node) {
 	if err := n.driver.Perform(); err != nil {
 		f.Counts["disk ended a process"]++
@@ -405,6 +427,13 @@
 		return
 	}
 	link := [2]string{from.Name, target.Name}
+	if raft := frame.GetRaft(); raft != nil && raft.Kind == schema.RaftKind_RAFT_VOTE_OUTCOME && !raft.Declined {
+		ballot := fmt.Sprintf("%s in term %d", from.ident, raft.Term)
+		if other, isGiven := f.votes[ballot]; isGiven && other != raft.To {
+			f.breach("%s gave its vote twice: to %s and %s", ballot, other, raft.To)
+		}
+		f.votes[ballot] = raft.To
+	}
 	kind := fmt.Sprintf("%T", frame.Body)
 	f.Frames[kind]++
 	f.Bytes[kind] += proto.Size(frame)
@@ -481,6 +510,12 @@
 // Wipe empties a dead machine's disk.
 func (f *Fleet) Wipe(n *Node) { n.disk = NewDisk() }
 
+// Mend makes a dead machine's disk work again; it keeps what was synced.
+func (f *Fleet) Mend(n *Node) {
+	n.disk.Fault, n.disk.Only, n.disk.left = nil, "", 0
+	n.syncPause = 0
+}
+
 // Freeze stops a machine for a while without its knowing.
 func (f *Fleet) Freeze(n *Node, d time.Duration) { n.frozen = f.Now + d }
 
