A back end that refused a proxy is cold there as soon as it answers again

A late or unanswered connection does not count, so that a proxy's own pause does not make every back end cold.

Ruled out: age in the identity exchange (plain web services need not know it).

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -452,7 +452,7 @@
 					} else {
 						fails[b.Instance] = 0
 					}
-					n.loads.Report(b.Instance, err == nil)
+					n.loads.Report(b.Instance, err)
 				})
 			}
 		}
--- a/internal/proxy/budget.go
+++ b/internal/proxy/budget.go
@@ -1,7 +1,9 @@
 package proxy
 
 import (
+	"errors"
 	"sync"
+	"syscall"
 	"time"
 
 	"topazshed/internal/constants"
@@ -31,6 +33,8 @@
 	lock     sync.Mutex
 	inFlight map[string]int
 	bad      map[string]int
+	down     map[string]bool
+	back     map[string]time.Duration
 	ramps    map[string]*ramp
 	windows  map[string]*window
 	keys     map[string]int
@@ -55,7 +59,7 @@
 func NewLoads(now func() time.Duration) *Loads {
 	l := &Loads{now: now, keyed: map[uint64]keyedLeg{}}
 	for i := range l.shards {
-		l.shards[i] = loadShard{inFlight: map[string]int{}, bad: map[string]int{}, ramps: map[string]*ramp{}, windows: map[string]*window{}, keys: map[string]int{}, all: map[string]int{}}
+		l.shards[i] = loadShard{inFlight: map[string]int{}, bad: map[string]int{}, down: map[string]bool{}, back: map[string]time.Duration{}, ramps: map[string]*ramp{}, windows: map[string]*window{}, keys: map[string]int{}, all: map[string]int{}}
 	}
 	return l
 }
@@ -89,14 +93,21 @@
 	}
 }
 
-// Report takes a probe's or leg's result for a back end.
-func (l *Loads) Report(instance string, isGood bool) {
+// Report takes a probe's or leg's result for a back end; one that was down and answers again is taken as cold here.
+func (l *Loads) Report(instance string, err error) {
 	s, free := l.in(instance)
 	defer free()
-	if isGood {
+	if err == nil {
 		delete(s.bad, instance)
-	} else {
-		s.bad[instance]++
+		if s.down[instance] {
+			delete(s.down, instance)
+			s.back[instance] = l.now()
+		}
+		return
+	}
+	s.bad[instance]++
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		s.down[instance] = true
 		delete(s.ramps, instance)
 	}
 }
@@ -112,7 +123,12 @@
 func (l *Loads) MayBegin(now time.Duration, backend *schema.Backend, part Part, bearable uint32) bool {
 	s, free := l.in(backend.Instance)
 	defer free()
-	if !backend.Cold {
+	at, isBack := s.back[backend.Instance]
+	if isBack && now-at >= constants.ColdRamp {
+		delete(s.back, backend.Instance)
+		isBack = false
+	}
+	if !backend.Cold && !isBack {
 		delete(s.ramps, backend.Instance)
 		return true
 	}
--- a/internal/proxy/course.go
+++ b/internal/proxy/course.go
@@ -322,7 +322,7 @@
 	d := c.decision
 	if e.Err != nil {
 		c.endLeg()
-		c.Loads.Report(d.Backend.Instance, false)
+		c.Loads.Report(d.Backend.Instance, e.Err)
 		c.tried[d.Backend.Instance] = true
 		c.lastFault = e.Err.Error()
 		return c.turn(false)
@@ -369,7 +369,7 @@
 	c.isTouched = c.isTouched || e.IsTouched
 	c.endKeyed(err != nil)
 	if err == nil {
-		c.Loads.Report(d.Backend.Instance, true)
+		c.Loads.Report(d.Backend.Instance, nil)
 		return Order{Kind: OrderReply, Outcome: &Outcome{e.Outcome.Status, strip(e.Outcome.Header), e.Outcome.Body}, Keeps: true}
 	}
 	c.tried[d.Backend.Instance] = true
@@ -405,7 +405,7 @@
 func (c *Course) forwardConnected(e Event) Order {
 	if e.Err != nil {
 		c.Loads.End(c.node.Id)
-		c.Loads.Report(c.node.Id, false)
+		c.Loads.Report(c.node.Id, e.Err)
 		return c.forwardEnded(declineLater("no-proxy", "the owner's proxy is not reached (%v); send again", e.Err), true)
 	}
 	left := c.until - c.now
@@ -421,7 +421,7 @@
 func (c *Course) forwardAnswered(e Event) Order {
 	c.Loads.End(c.node.Id)
 	doubt := func(err error) Order {
-		c.Loads.Report(c.node.Id, false)
+		c.Loads.Report(c.node.Id, err)
 		return c.forwardEnded(&DeclineError{Status: http.StatusBadGateway, Kind: "failed", Outcome: OutcomeDoubtful, RetryAfter: constants.RetryAfter,
 			Message: fmt.Sprintf("the owner's proxy gave no whole answer: %v", err)}, c.decision.IsSafe)
 	}
@@ -436,7 +436,7 @@
 	if kind == OutcomeSealed && o.Header.Get(HeaderDigest) != Seal(o.Body) && c.Query.Method != http.MethodHead {
 		return doubt(errors.New("the answer's digest does not fit its body"))
 	}
-	c.Loads.Report(c.node.Id, true)
+	c.Loads.Report(c.node.Id, nil)
 	if kind == OutcomeSealed {
 		return Order{Kind: OrderReply, Outcome: &Outcome{o.Status, strip(o.Header), o.Body}, Keeps: true}
 	}
--- a/internal/sim/sim.go
+++ b/internal/sim/sim.go
@@ -357,13 +357,13 @@
 			if b.State == "gone" || regionOf(b.District) != n.Region || view.Services[b.Service] == nil {
 				continue
 			}
-			isGood := b.IsUp && f.Now >= b.frozen && f.at(b.Address) == b && !f.cuts[[2]string{n.Name, b.Instance}]
-			if isGood {
+			err := f.reach(n, b)
+			if err == nil {
 				n.fails[b.Instance] = 0
 			} else {
 				n.fails[b.Instance]++
 			}
-			n.loads.Report(b.Instance, isGood)
+			n.loads.Report(b.Instance, err)
 			vitals = append(vitals, &schema.Vital{Instance: b.Instance, Failing: n.fails[b.Instance] >= constants.VitalsFails})
 		}
 		n.core.SetVitals(vitals)
--- a/internal/sim/world.go
+++ b/internal/sim/world.go
@@ -7,6 +7,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"syscall"
 	"time"
 
 	"topazshed/internal/judge"
@@ -28,9 +29,11 @@
 )
 
 const (
-	coldSpan  = 8 * time.Second
-	workers   = 6
-	coldTimes = 6
+	coldSpan    = 8 * time.Second
+	workers     = 6
+	coldTimes   = 6
+	machineBoot = 3 * time.Second
+	processBoot = time.Second
 )
 
 // Backend is a simulated back end.
@@ -40,6 +43,7 @@
 	State                                string
 	Mode                                 Mode
 	isSilent                             bool
+	downAt                               time.Duration
 	frozen                               time.Duration
 	coldUntil                            time.Duration
 	working                              int
@@ -77,6 +81,16 @@
 	return nil
 }
 
+func (f *Fleet) reach(n *Node, b *Backend) error {
+	switch {
+	case !b.IsUp && !b.isSilent || f.at(b.Address) != b && f.at(b.Address) != nil:
+		return fmt.Errorf("connect to %s: %w", b.Address, syscall.ECONNREFUSED)
+	case !b.IsUp || f.Now < b.frozen || f.cuts[[2]string{n.Name, b.Instance}]:
+		return fmt.Errorf("connect to %s: no answer", b.Address)
+	}
+	return nil
+}
+
 func (f *Fleet) backend(instance string) *Backend {
 	for _, b := range f.Backends {
 		if b.Instance == instance {
@@ -90,6 +104,7 @@
 func (f *Fleet) Crash(b *Backend) {
 	b.IsUp = false
 	b.isSilent = f.random.Intn(2) == 0
+	b.downAt = f.Now
 	b.working, b.waiting = 0, nil
 	for a := range b.running {
 		a.End = f.Now
@@ -102,8 +117,16 @@
 	}
 }
 
-// Return starts a crashed back end again, cold.
+// Return starts a crashed back end again, cold; a process takes a second at least, a machine that vanished its boot.
 func (f *Fleet) Return(b *Backend) {
+	boot := processBoot
+	if b.isSilent {
+		boot = machineBoot
+	}
+	if left := boot - (f.Now - b.downAt); !b.IsUp && left > 0 {
+		f.after(left, func() { f.Return(b) })
+		return
+	}
 	if !b.IsUp && b.State != "gone" {
 		b.IsUp = true
 		f.warm(b)
