The checker takes a back end as cold after its return only, at each of its returns

Cause: the rule on cold back ends judged also what an instance got before it came back, and kept the last return alone.

A case in TestEveryRuleCatchesItsBreach (many requests before a return) failed first.

--- a/cmd/rig/world.go
+++ b/cmd/rig/world.go
@@ -257,7 +257,7 @@
 	w.history.Lock()
 	w.history.Places[b.instance] = district
 	if isCold {
-		w.history.Births[b.instance] = w.history.Now()
+		w.history.Births[b.instance] = append(w.history.Births[b.instance], w.history.Now())
 	}
 	w.history.Unlock()
 	w.refresh()
--- a/internal/judge/history.go
+++ b/internal/judge/history.go
@@ -116,12 +116,12 @@
 	Operators []OperatorEvent
 	Fleet     []FleetEvent
 	Places    map[string]string
-	Births    map[string]time.Duration
+	Births    map[string][]time.Duration
 }
 
 // NewHistory makes an empty history on a clock and a way to tell a district's region.
 func NewHistory(now func() time.Duration, regionOf func(district string) string) *History {
-	return &History{Now: now, RegionOf: regionOf, Places: map[string]string{}, Births: map[string]time.Duration{}}
+	return &History{Now: now, RegionOf: regionOf, Places: map[string]string{}, Births: map[string][]time.Duration{}}
 }
 
 // Record adds one thing that was seen.
--- a/internal/judge/judge.go
+++ b/internal/judge/judge.go
@@ -289,8 +289,8 @@
 	v := &Verdict{Rule: "cold"}
 	recent := map[string][]time.Duration{}
 	for _, a := range h.Arrivals {
-		born, isCold := h.Births[a.Instance]
-		if !isCold || a.At-born > 8*time.Second {
+		isCold := slices.ContainsFunc(h.Births[a.Instance], func(born time.Duration) bool { return a.At >= born && a.At-born <= 8*time.Second })
+		if !isCold {
 			continue
 		}
 		list := append(recent[a.Instance], a.At)
--- a/internal/judge/judge_test.go
+++ b/internal/judge/judge_test.go
@@ -35,6 +35,14 @@
 		breach func(h *History)
 	}{
 		{"", "nothing wrong", func(*History) {}},
+		{"", "many requests at a back end that only later comes back cold", func(h *History) {
+			h.Births["ledger-1"] = []time.Duration{50 * time.Second}
+			for i := range 40 {
+				again := *h.Arrivals[1]
+				again.Send = fmt.Sprintf("flood/%d", i)
+				h.Arrivals = append(h.Arrivals, &again)
+			}
+		}},
 		{"once", "an unsafe attempt runs twice", func(h *History) {
 			again := *h.Arrivals[0]
 			again.Send, again.At = again.Attempt+"/2", again.At+time.Second
@@ -90,7 +98,7 @@
 			}
 		}},
 		{"cold", "a flood at a cold back end", func(h *History) {
-			h.Births["ledger-1"] = 20 * time.Second
+			h.Births["ledger-1"] = []time.Duration{20 * time.Second, 50 * time.Second}
 			for i := range 40 {
 				again := *h.Arrivals[1]
 				again.Send = fmt.Sprintf("flood/%d", i)
--- a/internal/sim/scenarios.go
+++ b/internal/sim/scenarios.go
@@ -459,16 +459,19 @@
 		f.RunFor(12 * time.Second)
 		return f.settled()
 	}},
-	{"all-cold", "every back end of each service crashes and comes back cold", Options{}, func(f *Fleet) error {
-		for _, b := range f.Backends {
-			f.Crash(b)
-		}
-		f.RunFor(3 * time.Second)
-		for _, b := range f.Backends {
-			f.Return(b)
-		}
+	{"all-cold", "every back end of each service crashes and comes back cold, after 3 s, then after 1 s", Options{}, func(f *Fleet) error {
 		f.hotKey = true
-		f.RunFor(20 * time.Second)
+		for _, away := range []time.Duration{3 * time.Second, processBoot} {
+			for _, b := range f.Backends {
+				f.Crash(b)
+				b.isSilent = false
+			}
+			f.RunFor(away)
+			for _, b := range f.Backends {
+				f.Return(b)
+			}
+			f.RunFor(15 * time.Second)
+		}
 		return f.settled()
 	}},
 	{"reuse", "addresses pass to back ends of other services", Options{}, func(f *Fleet) error {
--- a/internal/sim/world.go
+++ b/internal/sim/world.go
@@ -69,7 +69,7 @@
 
 func (f *Fleet) warm(b *Backend) {
 	b.coldUntil = f.Now + coldSpan
-	f.History.Births[b.Instance] = f.Now
+	f.History.Births[b.Instance] = append(f.History.Births[b.Instance], f.Now)
 }
 
 func (f *Fleet) at(address string) *Backend {
