--- a/internal/sim/scenarios.go
+++ b/internal/sim/scenarios.go
@@ -689,7 +689,7 @@
 	{"unsynced", "disks tell of syncs that were none", "all-killed", "two leaders in term"},
 	{"stop", "a planned stop does not wait", "rolling", "rule dropped"},
 	{"budget", "the repeat budget counts first legs twenty times", "bad-outcomes", "rule repeats"},
-	{"cold", "proxies do not see the cold mark", "all-cold", "rule cold"},
+	{"cold", "proxies see neither the cold mark nor that a back end refused them", "all-cold", "rule cold"},
 	{"home", "proxies take every back end as near", "calm", "rule home"},
 	{"keys", "nodes do not tell of their running keyed legs", "release", "rule keys"},
 }
--- a/internal/sim/traffic.go
+++ b/internal/sim/traffic.go
@@ -9,7 +9,6 @@
 	"slices"
 	"strconv"
 	"strings"
-	"syscall"
 	"time"
 
 	"topazshed/internal/constants"
@@ -218,7 +217,7 @@
 	b := f.at(order.Address)
 	switch {
 	case b == nil:
-		span, err := time.Millisecond, fmt.Errorf("connect to %s: %w", order.Address, syscall.ECONNREFUSED)
+		span, err := time.Millisecond, f.refused(order.Address)
 		if listed := f.backend(order.Who.Instance); listed != nil && listed.isSilent {
 			span, err = order.For, fmt.Errorf("connect to %s: no answer", order.Address)
 		}
--- a/internal/sim/world.go
+++ b/internal/sim/world.go
@@ -81,10 +81,17 @@
 	return nil
 }
 
+func (f *Fleet) refused(address string) error {
+	if f.Options.Breach == "cold" {
+		return fmt.Errorf("connect to %s: refused, but not told so", address)
+	}
+	return fmt.Errorf("connect to %s: %w", address, syscall.ECONNREFUSED)
+}
+
 func (f *Fleet) reach(n *Node, b *Backend) error {
 	switch {
 	case !b.IsUp && !b.isSilent || f.at(b.Address) != b && f.at(b.Address) != nil:
-		return fmt.Errorf("connect to %s: %w", b.Address, syscall.ECONNREFUSED)
+		return f.refused(b.Address)
 	case !b.IsUp || f.Now < b.frozen || f.cuts[[2]string{n.Name, b.Instance}]:
 		return fmt.Errorf("connect to %s: no answer", b.Address)
 	}
