A machine with a slow disk takes effect with the others, or declines; rig disks

Cause: a disk machine applied an item only when its own disk had it too, and a reader stayed with a source that was alive but behind. With one voter at 3 s a sync a configuration took effect there, and at the readers behind it, after up to 6 s.

Three parts, each seen to be needed: apply what a majority has on disk (a crash can't undo it); a machine told of a commit that it can't apply for 1.5 s declines (a new leader probes a slow voter one item at a time); readers turn from a source more than 0.9 s behind. Ruled out: acknowledging before the sync.

--- a/cmd/rig/fleet.go
+++ b/cmd/rig/fleet.go
@@ -77,6 +77,7 @@
 	history  *judge.History
 	machines []*Machine
 	platform string
+	faulty   string
 	level    string
 	spawner  sync.Once
 	spawns   chan func()
@@ -136,6 +137,8 @@
 	return nil
 }
 
+func (f *Fleet) faults(m *Machine) string { return filepath.Join(f.folder, m.name+".disk") }
+
 func (f *Fleet) seeds() []string {
 	var seeds []string
 	for _, m := range f.machines {
@@ -175,6 +178,9 @@
 		return err
 	}
 	command := exec.Command(f.program, "serve", "-settings", file)
+	if m.hasDisk && f.faulty != "" {
+		command = exec.Command(f.faulty, "machine", "-settings", file, "-faults", f.faults(m))
+	}
 	command.Stderr, command.Stdout = log, log
 	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := f.spawn(command); err != nil {
--- a/cmd/rig/main.go
+++ b/cmd/rig/main.go
@@ -184,6 +184,11 @@
 			return nil, usageError{err}
 		}
 	}
+	if slices.ContainsFunc(steps, func(s Step) bool { return s.Verb == "disk" }) {
+		if fleet.faulty, err = os.Executable(); err != nil {
+			return nil, err
+		}
+	}
 	begun := history.Now()
 	for _, m := range fleet.machines {
 		if err := fleet.start(m); err != nil {
@@ -348,6 +353,7 @@
 	subcommands.Register(subcommands.HelpCommand(), "")
 	subcommands.Register(&runCommand{}, "")
 	subcommands.Register(&runCommand{isDemo: true}, "")
+	subcommands.Register(&machineCommand{}, "")
 	subcommands.Register(&simCommand{}, "")
 	subcommands.Register(&scaleCommand{}, "")
 	subcommands.Register(&failoverCommand{}, "")
--- a/cmd/topazshed/commands.go
+++ b/cmd/topazshed/commands.go
@@ -71,7 +71,7 @@
 			}
 		}
 	}()
-	n, err := node.Start(s, log)
+	n, err := node.Start(s, log, node.OpenFolder)
 	if err != nil {
 		log.Error("did not start", "reason", err.Error())
 		return subcommands.ExitFailure
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -64,6 +64,7 @@
 	ThawedAt   time.Duration
 	Fences     map[string]time.Duration
 	Opened     map[string]time.Duration
+	BehindAt   time.Duration
 	TickAt     time.Duration
 	PeersAt    time.Duration
 	Leader     string
@@ -169,6 +170,7 @@
 	imageAt    uint64
 	told       uint64
 	fences     map[string]time.Duration
+	behindAt   time.Duration
 	opened     map[string]time.Duration
 	openedAs   map[string]uint64
 	addresses  map[string]string
@@ -396,6 +398,7 @@
 	if c.quorum != nil {
 		c.quorum.Tick(now)
 		c.lead()
+		c.refresh()
 	}
 	if now-c.beatAt >= constants.BeatEvery {
 		c.beat()
@@ -653,7 +656,9 @@
 		}
 		return
 	}
-	c.sourceAt = c.now
+	if age := time.Duration(d.AgeMs) * time.Millisecond; age < constants.SourceSilent || c.now-c.freshAt > constants.IsolatedAfter {
+		c.sourceAt = c.now
+	}
 	for _, prefix := range d.Whole {
 		c.hold(prefix, true)
 	}
@@ -714,7 +719,7 @@
 
 // Local gives what the hot path may rely on now.
 func (c *Core) Local() *Local {
-	l := &Local{View: c.view, Held: c.held, IsFull: c.isFull(), FreshAt: c.freshAt, GrantUntil: c.grantUntil, Fences: c.fences, Opened: c.opened, ThawedAt: c.thawedAt, TickAt: c.tickedAt,
+	l := &Local{View: c.view, Held: c.held, IsFull: c.isFull(), FreshAt: c.freshAt, GrantUntil: c.grantUntil, Fences: c.fences, Opened: c.opened, BehindAt: c.behindAt, ThawedAt: c.thawedAt, TickAt: c.tickedAt,
 		Leader: c.leader, System: c.system, ListAt: c.listAt, ListFault: c.listFault, Suspects: c.near.Suspects(), Known: len(c.near.Known()), Rows: c.table.Size(),
 		IsStopping: c.self.State == schema.NodeState_NODE_STOPPING, Role: "reader"}
 	if c.quorum != nil {
@@ -764,8 +769,13 @@
 	return effects
 }
 
-// TakeUnbound gives the effects that rest on nothing unwritten, while the disk is busy with the rest.
+// TakeUnbound applies what a majority has on disk and gives the effects that rest on nothing unwritten, while this disk is busy.
 func (c *Core) TakeUnbound() Effects {
+	if c.quorum != nil {
+		c.apply()
+		c.refresh()
+		c.spread()
+	}
 	effects := Effects{Sends: c.effects.Sends, Outcomes: c.effects.Outcomes}
 	c.effects = Effects{}
 	return effects
@@ -809,6 +819,32 @@
 	}
 	c.quorum.Synced(now, effects.Quorum)
 	defer c.refresh()
+	c.apply()
+	for _, ticket := range effects.Quorum.Reads {
+		c.answerRead(ticket)
+	}
+	for _, ticket := range effects.Quorum.LostReads {
+		if w := c.reads[ticket]; w != nil {
+			delete(c.reads, ticket)
+			c.reply(w, &schema.OperatorOutcome{Decline: schema.DeclineKind_DECLINE_NO_LEADER, Message: "the leader changed while it answered; ask again"})
+		}
+	}
+	c.spread()
+}
+
+func (c *Core) refresh() {
+	switch {
+	case c.table.Version() >= c.told:
+		c.behindAt = 0
+		if c.told > 0 {
+			c.freshAt = c.toldAt
+		}
+	case c.behindAt == 0:
+		c.behindAt = c.now
+	}
+}
+
+func (c *Core) apply() {
 	var changed []*schema.Row
 	for _, item := range c.quorum.Committed() {
 		rows, err := c.table.Apply(item.Index, item.Record, standing.Check)
@@ -826,22 +862,6 @@
 		c.settle(item)
 	}
 	c.publish(changed)
-	for _, ticket := range effects.Quorum.Reads {
-		c.answerRead(ticket)
-	}
-	for _, ticket := range effects.Quorum.LostReads {
-		if w := c.reads[ticket]; w != nil {
-			delete(c.reads, ticket)
-			c.reply(w, &schema.OperatorOutcome{Decline: schema.DeclineKind_DECLINE_NO_LEADER, Message: "the leader changed while it answered; ask again"})
-		}
-	}
-	c.spread()
-}
-
-func (c *Core) refresh() {
-	if c.told > 0 && c.table.Version() >= c.told {
-		c.freshAt = c.toldAt
-	}
 }
 
 // Compactable tells whether a new image should be written.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -41,6 +41,7 @@
 	*kernel.Kernel
 	settings *settings.Settings
 	log      *slog.Logger
+	open     func(path string) (Folder, error)
 	begun    time.Time
 	self     *schema.Node
 	core     *core.Core
@@ -81,9 +82,19 @@
 	return hex.EncodeToString(text[:])
 }
 
-// Start brings a process up.
-func Start(s *settings.Settings, log *slog.Logger) (*Node, error) {
-	n := &Node{Kernel: kernel.New(), settings: s, log: log, begun: time.Now(), commands: make(chan func(), 4096), fatal: make(chan error, 1)}
+// Folder is a data folder: journal.OpenFolder gives the real one.
+type Folder interface {
+	journal.Disk
+	Wipe() error
+	Close() error
+}
+
+// OpenFolder opens the data folder on the real disk.
+func OpenFolder(path string) (Folder, error) { return journal.OpenFolder(path) }
+
+// Start brings a process up; open gives its data folder.
+func Start(s *settings.Settings, log *slog.Logger, open func(path string) (Folder, error)) (*Node, error) {
+	n := &Node{Kernel: kernel.New(), settings: s, log: log, open: open, begun: time.Now(), commands: make(chan func(), 4096), fatal: make(chan error, 1)}
 	n.context, n.cancel = context.WithCancel(context.Background())
 	n.local.Store(&core.Local{View: image.NewView()})
 	n.disk.Store(&control.Disk{Folder: s.Data})
@@ -159,7 +170,7 @@
 }
 
 func (n *Node) openJournal() (*journal.State, error) {
-	folder, err := journal.OpenFolder(n.settings.Data)
+	folder, err := n.open(n.settings.Data)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/proxy/decider.go
+++ b/internal/proxy/decider.go
@@ -70,7 +70,7 @@
 	if local == nil || now-local.TickAt > time.Second || local.ThawedAt > 0 && local.FreshAt <= local.ThawedAt {
 		return false
 	}
-	if local.View.Version == 0 {
+	if local.View.Version == 0 || local.BehindAt > 0 && now-local.BehindAt > constants.BehindMost {
 		return false
 	}
 	return now-local.FreshAt < constants.IsolatedAfter || now-local.PeersAt < constants.IsolatedAfter
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -98,6 +98,8 @@
 			s.Now += constants.IsolatedAfter
 			s.Local.TickAt, s.Local.PeersAt = s.Now, s.Now
 		}, safe(), TurnLeg, "", "l-1"},
+		{"one that was told of changes which it lacks declines", base(all...), func(s *Situation) { s.Local.BehindAt = noon - constants.BehindMost - time.Millisecond }, safe(), TurnDecline, "isolated", ""},
+		{"but not at once", base(all...), func(s *Situation) { s.Local.BehindAt = noon - constants.BehindMost }, safe(), TurnLeg, "", "l-1"},
 		{"a thawed proxy refreshes first", base(all...), func(s *Situation) { s.Local.ThawedAt = noon }, safe(), TurnPark, "", ""},
 		{"one that has not ticked is taken as frozen", base(all...), func(s *Situation) { s.Local.TickAt = noon - 2*time.Second }, safe(), TurnPark, "", ""},
 		{"an unknown service", base(all...), func(s *Situation) { s.Query.Service = "nobody" }, safe(), TurnDecline, "unknown-entry", ""},
--- a/internal/quorum/quorum.go
+++ b/internal/quorum/quorum.go
@@ -74,6 +74,7 @@
 	commit    uint64
 	handed    uint64
 	image     *schema.Image
+	isBehind  bool
 	votes     map[string]bool
 	isPre     bool
 	others    map[string]*progress
@@ -619,7 +620,7 @@
 	q.items = nil
 	q.unsynced = q.first + 1
 	q.commit, q.handed = q.first, q.first
-	q.image = m.Image
+	q.image, q.isBehind = m.Image, true
 	q.send(outcome)
 }
 
@@ -701,6 +702,9 @@
 	if ready.Hard != nil {
 		q.synced = ready.Hard
 	}
+	if ready.Image != nil && q.image == nil {
+		q.isBehind = false
+	}
 	if n := len(ready.Items); n > 0 {
 		last := ready.Items[n-1]
 		if term, isThere := q.termAt(last.Index); isThere && term == last.Term {
@@ -710,10 +714,11 @@
 	q.advance()
 }
 
-// Committed gives the items to apply next.
+// Committed gives the items to apply next. They are on the disks of a majority, though perhaps not on this one yet;
+// none follow an image that is still to be installed.
 func (q *Quorum) Committed() []*schema.LogItem {
-	until := min(q.commit, q.unsynced-1)
-	if until <= q.handed {
+	until := q.commit
+	if until <= q.handed || q.isBehind {
 		return nil
 	}
 	items := q.items[q.handed-q.first : until-q.first]
