A keeper that missed a set does not take its own old claims for all of them

Cause: a keeper was ready at once under a new set when it had been ready before and the new set's former members were all copied from, itself included. When its image went from set 3 to set 6 in one step (four of a region's five machines killed, taken out in three records), the former members were itself alone, and it began with its own claims: those of ids that others had kept were gone, without any window waited out and without its memory's reach being shortened. Its own claims now count only if it was ready under the very set before; else it waits and its memory begins there.

Ruled out: the late repeats' age (told rightly, but the keeper's reach was 'founding').

--- a/internal/claim/claim.go
+++ b/internal/claim/claim.go
@@ -89,7 +89,7 @@
 		return
 	}
 	if k.set == nil || set.Number > k.set.Number {
-		wasReady := k.isReady && k.isMember
+		wasReady := k.isReady && k.isMember && set.Number == k.set.Number+1
 		k.set = set
 		k.isMember = slices.ContainsFunc(set.Members, func(m *schema.Member) bool { return m.Id == k.id })
 		k.isReady = set.First && !k.hasLived && k.isMember
--- a/internal/claim/claim_test.go
+++ b/internal/claim/claim_test.go
@@ -162,6 +162,9 @@
 				k.Copied(0, id, &schema.ClaimCopyOutcome{Ready: true, Keepers: 2, Next: 7})
 			}
 		}, time.Second, claimOf("x", "p/1", 2), false, silent},
+		{"a keeper that missed a set knows too little, though it is all that is left", "a", false, func(k *Keeper) {
+			k.Adopt(0, &schema.Keepers{Region: "r", Number: 3, Members: members("a"), Former: members("a"), Fenced: true})
+		}, time.Second, claimOf("x", "p/1", 3), false, silent},
 		{"a copy for another set counts for nothing", "d", false, func(k *Keeper) {
 			k.Adopt(0, second)
 			for _, id := range []string{"a", "b", "c"} {
