Operators are told which zones have not confirmed a change, until they have

Cause: an emptying or a put accepted while a region was cut off was answered like any other; nothing told which proxies went on as before. The answer now waits, a second at most, until every proxy has told that it has the change (beats are sent at once on it), and names the districts that have not; status asks the leader and doctor reports 'unconfirmed-change' until they have.

Ruled out: waiting for all without an end (a dead machine would hold every answer).

Not shown: a machine that is dead for good is named until its row goes (a minute).

--- a/cmd/topazshed/commands.go
+++ b/cmd/topazshed/commands.go
@@ -15,6 +15,7 @@
 	"os/signal"
 	"reflect"
 	"strconv"
+	"strings"
 	"syscall"
 	"time"
 
@@ -145,6 +146,12 @@
 	return subcommands.ExitFailure
 }
 
+func tellUnconfirmed(districts []string) {
+	if len(districts) > 0 {
+		fmt.Printf("not confirmed yet by every proxy of %s: those out of the core's reach go on as before; see status until they have\n", strings.Join(districts, ", "))
+	}
+}
+
 type putCommand struct {
 	doorFlag
 	base int64
@@ -186,6 +193,7 @@
 		var reply control.Reply
 		json.Unmarshal(text, &reply)
 		fmt.Printf("accepted as version %d\n", reply.Version)
+		tellUnconfirmed(reply.Unconfirmed)
 	}
 	return code
 }
@@ -238,7 +246,10 @@
 	status, _, text, err := c.call(http.MethodPost, "/v1/districts/"+flags.Arg(0)+"/"+c.Name(), url.Values{"reason": {c.reason}}, nil, nil)
 	code := report(status, text, err)
 	if code == subcommands.ExitSuccess {
+		var reply control.Reply
+		json.Unmarshal(text, &reply)
 		fmt.Println("accepted")
+		tellUnconfirmed(reply.Unconfirmed)
 	}
 	return code
 }
@@ -273,6 +284,7 @@
 		return subcommands.ExitFailure
 	}
 	fmt.Printf("node %s (%s), term %d, leader %s, index %d, configuration %d, fit %v, grant %d ms\n", s.Node, s.Role, s.Term, s.Leader, s.Index, s.Configuration, s.Fit, s.GrantMs)
+	tellUnconfirmed(s.Unconfirmed)
 	for _, d := range s.Districts {
 		fmt.Printf("district %-12s region %-10s residue %2d emptied %v %s\n", d.Name, d.Region, d.Residue, d.Emptied, d.Reason)
 	}
--- a/cmd/topazshed/doctor.go
+++ b/cmd/topazshed/doctor.go
@@ -255,6 +255,9 @@
 		if 2*(len(leader.Voters)-lost-1) <= len(leader.Voters) {
 			add("thin-quorum", fmt.Sprintf("%d of %d voters are lost; one more stops changes", lost, len(leader.Voters)), "bring a disk machine back, empty if need be")
 		}
+		if len(leader.Unconfirmed) > 0 {
+			add("unconfirmed-change", "the newest operator's change is not confirmed by every proxy of "+strings.Join(leader.Unconfirmed, ", "), "bring their links to the core back, or end those machines: until then they go on as before")
+		}
 		if leader.ListMs < 0 || time.Duration(leader.ListMs)*time.Millisecond > constants.StaleList {
 			add("stale-list", fmt.Sprintf("the platform's list was last read whole %d ms ago (%s)", leader.ListMs, leader.ListFault), "check the platform setting and the platform itself; back ends stay as last known")
 		}
--- a/internal/constants/constants.go
+++ b/internal/constants/constants.go
@@ -37,6 +37,8 @@
 	GrantMargin = 500 * time.Millisecond
 	// IsolatedAfter (time) is the age of the last word from core or region at which a proxy declines all.
 	IsolatedAfter = 4 * time.Second
+	// ConfirmWait (time) is how long an accepted operator's query waits for every proxy's word before it tells who has not given it.
+	ConfirmWait = time.Second
 	// BehindMost (time) is how long a disk machine serves on although it was told of changes that it can't apply yet: with the way there it stays below 2.5 s.
 	BehindMost = 1500 * time.Millisecond
 	// StandingPlanEvery (time) is how often the leader's watcher derives the standing.
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -54,6 +54,8 @@
 	Kind    string  `json:"kind,omitempty"`
 	Message string  `json:"message,omitempty"`
 	Faults  []Fault `json:"faults,omitempty"`
+	// Unconfirmed are the districts whose proxies have not all told that they have the change.
+	Unconfirmed []string `json:"unconfirmed,omitempty"`
 }
 
 // Standing is one row of the region map or of the entity rows, with the reason of its last change.
@@ -125,6 +127,7 @@
 	Standings     []Standing        `json:"standings"`
 	Entries       []string          `json:"entries"`
 	Backends      []BackendStatus   `json:"backends"`
+	Unconfirmed   []string          `json:"unconfirmed,omitempty"`
 }
 
 // Door serves directory and operators.
@@ -198,7 +201,7 @@
 		return
 	}
 	if outcome := d.operate(w, r, &schema.OperatorQuery{Kind: schema.OperatorKind_OPERATOR_PUT, Document: document, Base: base, Key: r.Header.Get("Topazshed-Operator-Key")}); outcome != nil {
-		write(w, http.StatusOK, Reply{Version: outcome.Version, Index: outcome.Index})
+		write(w, http.StatusOK, Reply{Version: outcome.Version, Index: outcome.Index, Unconfirmed: outcome.Unconfirmed})
 	}
 }
 
@@ -228,13 +231,19 @@
 			query.Reason = "operator"
 		}
 		if outcome := d.operate(w, r, query); outcome != nil {
-			write(w, http.StatusOK, Reply{Index: outcome.Index})
+			write(w, http.StatusOK, Reply{Index: outcome.Index, Unconfirmed: outcome.Unconfirmed})
 		}
 	}
 }
 
 func (d *Door) status(w http.ResponseWriter, r *http.Request) {
-	write(w, http.StatusOK, d.Status())
+	s := d.Status()
+	ctx, cancel := context.WithTimeout(r.Context(), constants.ConfirmWait)
+	defer cancel()
+	if outcome, err := d.options.Operate(ctx, &schema.OperatorQuery{Kind: schema.OperatorKind_OPERATOR_STATUS}); err == nil && outcome != nil && outcome.Decline == schema.DeclineKind_DECLINE_NONE {
+		s.Unconfirmed = outcome.Unconfirmed
+	}
+	write(w, http.StatusOK, s)
 }
 
 // Status gathers what this node knows.
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -44,6 +44,9 @@
 		want                     string
 	}{
 		{"a put is accepted", "PUT", "/v1/configuration?base=4", "{}", &schema.OperatorOutcome{Version: 5}, nil, 200, `"version":5`},
+		{"it tells who has not confirmed it", "PUT", "/v1/configuration?base=4", "{}", &schema.OperatorOutcome{Version: 5, Unconfirmed: []string{"north-b"}}, nil, 200, `"unconfirmed":["north-b"]`},
+		{"so does an emptying", "POST", "/v1/districts/north-b/empty", "", &schema.OperatorOutcome{Index: 5, Unconfirmed: []string{"north-a", "north-b"}}, nil, 200, `"unconfirmed":["north-a","north-b"]`},
+		{"and status, by the leader's word", "GET", "/v1/status", "", &schema.OperatorOutcome{Unconfirmed: []string{"north-b"}}, nil, 200, `"unconfirmed":["north-b"]`},
 		{"without a base", "PUT", "/v1/configuration", "{}", nil, nil, 400, "?base=N"},
 		{"oversize", "PUT", "/v1/configuration?base=0", strings.Repeat(" ", constants.DocumentLimit+1), nil, nil, 413, "oversize"},
 		{"a lost race names the newest version", "PUT", "/v1/configuration?base=4", "{}", &schema.OperatorOutcome{Decline: schema.DeclineKind_DECLINE_CONFLICT, Version: 7, Message: "m"}, nil, 409, `"version":7`},
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -151,6 +151,7 @@
 	electedAt  time.Duration
 	releasedAt map[uint64]time.Duration
 	waiters    []*waiter
+	confirming []*waiter
 	reads      map[uint64]*waiter
 	nextRead   uint64
 	whoAt      time.Duration
@@ -673,6 +674,11 @@
 		return
 	}
 	c.view = c.view.With(c.table, changed)
+	if slices.ContainsFunc(changed, func(row *schema.Row) bool {
+		return row.Key == image.HeadKey || strings.HasPrefix(row.Key, "district/")
+	}) {
+		c.beatAt = 0
+	}
 	c.noteFences(changed)
 	if c.system == "" && c.view.System != "" {
 		c.system = c.view.System
--- a/internal/core/lead.go
+++ b/internal/core/lead.go
@@ -514,7 +514,7 @@
 		return
 	}
 	if district.Emptied == isEmpty && c.pending[key] <= c.table.Version() {
-		c.reply(w, &schema.OperatorOutcome{Index: row.Index})
+		c.reply(w, &schema.OperatorOutcome{Index: row.Index, Unconfirmed: c.unconfirmed(row.Index)})
 		return
 	}
 	fresh := proto.Clone(district).(*schema.District)
@@ -540,11 +540,42 @@
 				Version: image.Decode[schema.CatalogHead](c.table.Get(image.HeadKey)).GetVersion()})
 		default:
 			c.planAt = 0
-			c.reply(w, &schema.OperatorOutcome{Version: w.query.Base, Index: item.Index})
+			w.until = c.now + constants.ConfirmWait
+			c.confirming = append(c.confirming, w)
 		}
 	}
 }
 
+func (c *Core) unconfirmed(index uint64) []string {
+	var districts []string
+	for id, node := range c.view.Nodes {
+		if g := c.nodes[id]; node.State != schema.NodeState_NODE_STOPPING && (g == nil || g.version < index) && !slices.Contains(districts, node.District) {
+			districts = append(districts, node.District)
+		}
+	}
+	slices.Sort(districts)
+	return districts
+}
+
+func (c *Core) operated() uint64 {
+	newest := c.table.Get(image.HeadKey).GetIndex()
+	for name := range c.view.Districts {
+		newest = max(newest, c.table.Get(image.DistrictKey(name)).GetIndex())
+	}
+	return newest
+}
+
+func (c *Core) confirm() {
+	c.confirming = slices.DeleteFunc(c.confirming, func(w *waiter) bool {
+		outcome := &schema.OperatorOutcome{Version: w.query.Base, Index: w.index, Unconfirmed: c.unconfirmed(w.index)}
+		isOver := len(outcome.Unconfirmed) == 0 || c.now >= w.until || !c.IsLeading()
+		if isOver {
+			c.reply(w, outcome)
+		}
+		return isOver
+	})
+}
+
 func (c *Core) answerRead(ticket uint64) {
 	w := c.reads[ticket]
 	if w == nil {
@@ -553,6 +584,9 @@
 	delete(c.reads, ticket)
 	document := image.Decode[schema.CatalogDocument](c.table.Get(image.DocumentKey))
 	outcome := &schema.OperatorOutcome{Version: document.GetVersion(), Document: document.GetDocument(), Index: c.table.Version()}
+	if w.query.Kind == schema.OperatorKind_OPERATOR_STATUS {
+		outcome = &schema.OperatorOutcome{Version: document.GetVersion(), Index: c.operated(), Unconfirmed: c.unconfirmed(c.operated())}
+	}
 	head := image.Decode[schema.CatalogHead](c.table.Get(image.HeadKey))
 	if w.query.Kind == schema.OperatorKind_OPERATOR_ASK && head.GetOperatorKey() != w.query.Key {
 		outcome = &schema.OperatorOutcome{Decline: schema.DeclineKind_DECLINE_UNKNOWN, Version: head.GetVersion(),
@@ -562,6 +596,7 @@
 }
 
 func (c *Core) expire() {
+	c.confirm()
 	for i := 0; i < len(c.waiters); i++ {
 		if w := c.waiters[i]; c.now > w.until {
 			c.waiters = slices.Delete(c.waiters, i, i+1)
--- a/internal/sim/scenarios.go
+++ b/internal/sim/scenarios.go
@@ -26,6 +26,19 @@
 	f.Operate(n, &schema.OperatorQuery{Kind: schema.OperatorKind_OPERATOR_PUT, Document: []byte(DefaultDocument), Base: f.accepted}, func(*schema.OperatorOutcome) {})
 }
 
+func (f *Fleet) status() []string {
+	var lacking []string
+	for i := 0; i < 40 && lacking == nil; i++ {
+		f.Operate(f.pick(func(n *Node) bool { return n.IsUp }), &schema.OperatorQuery{Kind: schema.OperatorKind_OPERATOR_STATUS}, func(o *schema.OperatorOutcome) {
+			if o.Decline == schema.DeclineKind_DECLINE_NONE {
+				lacking = append([]string{}, o.Unconfirmed...)
+			}
+		})
+		f.RunFor(250 * time.Millisecond)
+	}
+	return lacking
+}
+
 func (f *Fleet) reads() error {
 	for range 40 {
 		if o := f.Show(f.pick(func(n *Node) bool { return n.IsUp })); o != nil && o.Decline == schema.DeclineKind_DECLINE_NONE {
@@ -570,9 +583,15 @@
 		if !f.Move("r1-d0", true) {
 			return fmt.Errorf("emptying r1-d0 was not accepted")
 		}
+		if want := []string{"r1-d0", "r1-d1"}; !slices.Equal(f.lacking, want) {
+			return fmt.Errorf("the operator was told that %v lack the emptying, not %v", f.lacking, want)
+		}
 		f.RunFor(8 * time.Second)
 		f.Split(isInRegion("r1"), false)
 		f.RunFor(8 * time.Second)
+		if lacking := f.status(); lacking == nil || len(lacking) > 0 {
+			return fmt.Errorf("after the region healed status tells that %v lack the emptying", lacking)
+		}
 		f.Split(func(n *Node) bool { return n.District == "r0-d0" || n.District == "r1-d1" }, true)
 		if !f.Move("r2-d0", true) {
 			return fmt.Errorf("emptying r2-d0 was not accepted")
--- a/internal/sim/sim.go
+++ b/internal/sim/sim.go
@@ -108,6 +108,7 @@
 	Lost      map[string]int
 	Back      map[string]time.Duration
 	hotKey    bool
+	lacking   []string
 	freezeLeg time.Duration
 	staleFrom time.Duration
 	Effect    []time.Duration
@@ -607,6 +608,7 @@
 	default:
 		return
 	}
+	f.lacking = o.Unconfirmed
 	if o.Decline != schema.DeclineKind_DECLINE_NONE {
 		e.Status = 400 + int(o.Decline)
 	} else if e.What == "put" {
