--- a/cmd/rig/scenario.go
+++ b/cmd/rig/scenario.go
@@ -27,7 +27,7 @@
 }
 
 var verbs = map[string]int{"kill": 1, "reload": 1, "start": 1, "stop": 1, "restart": 1, "freeze": 1, "thaw": 1, "wipe": 1, "move": 1, "killzone": 1, "startzone": 1, "killall": 0, "startall": 0, "startdead": 0,
-	"cut": 2, "heal": 2, "isolate": 1, "rejoin": 1, "cutregion": 1, "healregion": 1, "empty": 1, "restore": 1, "put": 0, "race": 0, "bad": 0, "show": 0, "release": 1, "crash": 1,
+	"cut": 2, "heal": 2, "isolate": 1, "rejoin": 1, "cutregion": 1, "healregion": 1, "empty": 1, "restore": 1, "put": 0, "race": 0, "bad": 0, "show": 0, "release": 1, "replace": 1, "crash": 1,
 	"disk": 2, "mode": 2, "list": 1, "hot": 1, "reuse": 1, "doctor": 1, "rolling": 0}
 
 var (
@@ -229,6 +229,18 @@
 	return r.leader
 }
 
+func (r *Runner) replace(b *Backend) error {
+	if _, err := r.world.add(b.service, b.district, "", b.keyed, true); err != nil {
+		return err
+	}
+	time.Sleep(1500 * time.Millisecond)
+	r.world.drain(b)
+	time.Sleep(4 * time.Second)
+	b.crash()
+	r.world.remove(b)
+	return nil
+}
+
 // Do carries out one step.
 func (r *Runner) Do(s Step) error {
 	arg := func(i int) string { return s.Args[i] }
@@ -338,16 +350,13 @@
 		}
 	case "release":
 		for _, b := range r.world.of(arg(0)) {
-			fresh, err := r.world.add(b.service, b.district, "", b.keyed, true)
-			if err != nil {
+			if err := r.replace(b); err != nil {
 				return err
 			}
-			_ = fresh
-			time.Sleep(1500 * time.Millisecond)
-			r.world.drain(b)
-			time.Sleep(4 * time.Second)
-			b.crash()
-			r.world.remove(b)
+		}
+	case "replace":
+		if list := r.busiest(arg(0)); len(list) > 0 {
+			return r.replace(list[0])
 		}
 	case "crash":
 		if list := r.busiest(arg(0)); len(list) > 0 {
