The repeat allowance is shared out in whole legs, so that none of it is lost

Cause: ten repeats divided by the proxies and rounded down: seven proxies had seven together, fifteen had none, so a read of a small service had no second leg although the rule leaves room. Each proxy now takes its part by its rank, as for cold back ends.

Ruled out: an allowance of one for each proxy (fifteen are more than ten).

TestBudgets, proxies with one first leg each: 1, 3, 7 and 15 had 10, 9, 7 and 0 repeats together; now 10 each.

--- a/internal/proxy/budget.go
+++ b/internal/proxy/budget.go
@@ -143,12 +143,8 @@
 		r.begun = r.begun[1:]
 	}
 	rate := float64(bearable) * (1 + float64(age)/float64(constants.ColdRamp))
-	of := max(1, part.Of)
-	allowed := int(rate) / of
-	if part.Rank < int(rate)%of {
-		allowed++
-	}
-	if share := rate / float64(of); share < 1 {
+	allowed := part.Share(int(rate))
+	if share := rate / float64(max(1, part.Of)); share < 1 {
 		allowed = 1
 		if float64(now-last) < float64(time.Second)/share {
 			return false
@@ -190,8 +186,18 @@
 	w.firsts = append(w.firsts, now)
 }
 
-// Repeat tells whether one more leg fits the repeat budget, and counts it; sharers divide the allowance.
-func (l *Loads) Repeat(now time.Duration, service string, sharers int) bool {
+// Share is this proxy's whole part of a number that all proxies of a part have together.
+func (p Part) Share(whole int) int {
+	of := max(1, p.Of)
+	share := whole / of
+	if p.Rank < whole%of {
+		share++
+	}
+	return share
+}
+
+// Repeat tells whether one more leg fits the repeat budget, and counts it; the allowance is shared out in whole legs.
+func (l *Loads) Repeat(now time.Duration, service string, part Part) bool {
 	s, free := l.in(service)
 	defer free()
 	w := s.windows[service]
@@ -199,7 +205,7 @@
 		return false
 	}
 	w.trim(now)
-	if len(w.repeats)+1 > len(w.firsts)*constants.RepeatShare/100+constants.RepeatAllowance/max(1, sharers) {
+	if len(w.repeats)+1 > len(w.firsts)*constants.RepeatShare/100+part.Share(constants.RepeatAllowance) {
 		return false
 	}
 	w.repeats = append(w.repeats, now)
--- a/internal/proxy/course.go
+++ b/internal/proxy/course.go
@@ -304,7 +304,7 @@
 
 func (c *Course) leg() Order {
 	b := c.decision.Backend
-	if c.legs > 0 && (c.legs >= constants.LegsMost || !c.Loads.Repeat(c.now, b.Service, c.sharers())) {
+	if c.legs > 0 && (c.legs >= constants.LegsMost || !c.Loads.Repeat(c.now, b.Service, c.part())) {
 		return c.giveUp(declineLater("no-repeat", "the repeat budget of %s is spent; send again later", b.Service))
 	}
 	c.Loads.Begin(b.Instance)
@@ -458,7 +458,7 @@
 
 func (c *Course) forwardEnded(fault *DeclineError, mayRepeat bool) Order {
 	c.forwards++
-	if !mayRepeat || c.forwards >= 3 || fault.Outcome == OutcomeDoubtful && !c.Loads.Repeat(c.now, c.Query.Service, c.sharers()) {
+	if !mayRepeat || c.forwards >= 3 || fault.Outcome == OutcomeDoubtful && !c.Loads.Repeat(c.now, c.Query.Service, c.part()) {
 		return c.reply(fault)
 	}
 	c.lastFault, c.fault = fault.Message, fault
@@ -484,7 +484,7 @@
 	return true
 }
 
-func (c *Course) sharers() int {
+func (c *Course) part() Part {
 	view := c.local.View
 	groups := map[string]bool{}
 	if service := view.Services[c.decision.Entry.Service]; service != nil {
@@ -494,13 +494,16 @@
 			}
 		}
 	}
-	count := 0
-	for _, node := range view.Nodes {
+	part := Part{}
+	for id, node := range view.Nodes {
 		if groups[node.District] {
-			count++
+			part.Of++
+			if id < c.Self.Id {
+				part.Rank++
+			}
 		}
 	}
-	return max(1, count)
+	return part
 }
 
 var dropped = []string{"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length", "Host", "Expect", HeaderForwarded, HeaderOutcome, HeaderProxy}
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -188,7 +188,7 @@
 		l.First(noon+time.Duration(i)*time.Millisecond, "s")
 	}
 	repeats := 0
-	for l.Repeat(noon+time.Second, "s", 5) {
+	for l.Repeat(noon+time.Second, "s", Part{0, 5}) {
 		repeats++
 	}
 	if repeats != 100*constants.RepeatShare/100+constants.RepeatAllowance/5 {
@@ -197,12 +197,24 @@
 	for range 10 {
 		l.First(noon, "edge")
 	}
-	if l.Repeat(noon+constants.RepeatWindow-constants.RepeatMargin/2, "edge", 20) {
+	if l.Repeat(noon+constants.RepeatWindow-constants.RepeatMargin/2, "edge", Part{15, 20}) {
 		t.Error("a repeat is paid for by first legs that leave the window before it arrives")
 	}
-	if l.Repeat(noon+constants.RepeatWindow+2*time.Second, "s", 5) != true || l.Repeat(noon+constants.RepeatWindow+time.Second, "nobody", 5) {
+	if l.Repeat(noon+constants.RepeatWindow+2*time.Second, "s", Part{0, 5}) != true || l.Repeat(noon+constants.RepeatWindow+time.Second, "nobody", Part{0, 5}) {
 		t.Error("the window does not slide, or a service without legs may repeat")
 	}
+	for _, of := range []int{1, 3, 7, 15} {
+		together := 0
+		for rank := range of {
+			quiet := NewLoads(func() time.Duration { return noon })
+			for quiet.First(noon, "quiet"); quiet.Repeat(noon, "quiet", Part{rank, of}); {
+				together++
+			}
+		}
+		if together != constants.RepeatAllowance {
+			t.Errorf("%d proxies with one first leg each have %d repeats together, want the whole allowance of %d", of, together, constants.RepeatAllowance)
+		}
+	}
 	cold := &schema.Backend{Instance: "c", Cold: true}
 	begun := 0
 	proxies := [4]*Loads{}
