A repeat of an attempt id gets the sealed answer of its first sending

Cause: a repeat of an id whose first sending had been sealed was told 'doubtful', though its proxy still had the whole answer. A proxy now keeps the sealed answers of unsafe queries (64 KiB each, 16 MiB together, as long as claims); a query whose id is held asks the holder's proxy, releases what it claimed itself, and passes on the same answer if the digest of the query is the same and the seal still fits. It never runs again.

Ruled out: answers at the keepers (three copies of every payment's answer on the way before its caller is told).

--- a/internal/constants/constants.go
+++ b/internal/constants/constants.go
@@ -105,6 +105,10 @@
 	ClaimsMost = 200000
 	// ClaimPage (claims) are copied to another keeper at once, and the rest of one shard: a quarter of a frame at the most.
 	ClaimPage = 8192
+	// KeptBytes (bytes) of sealed outcomes of unsafe queries a proxy keeps for repeats of their ids; the oldest go first.
+	KeptBytes = 16 << 20
+	// KeptOutcome (bytes) is the largest outcome that is kept.
+	KeptOutcome = 64 << 10
 	// AgeMost (time) is the oldest first sending that a caller may tell.
 	AgeMost = 24 * time.Hour
 	// ClaimReplicas (keepers) hold one claim.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -54,6 +54,7 @@
 	serial   atomic.Uint64
 	operates sync.Map
 	loads    *proxy.Loads
+	kept     *proxy.Kept
 	pool     *proxy.Pool
 	executor *proxy.Executor
 	disk     atomic.Pointer[control.Disk]
@@ -129,7 +130,8 @@
 	n.pool = proxy.NewPool(n.settings.Proxy)
 	n.Push("pool", n.pool.Close)
 	n.loads = proxy.NewLoads(n.Now)
-	n.executor = proxy.NewExecutor(proxy.Options{Self: n.self, Now: n.Now, Local: n.local.Load, Want: n.want, Call: n.Call, Draw: draw, Pool: n.pool, Loads: n.loads, Log: n.log.With("part", "proxy")})
+	n.kept = proxy.NewKept()
+	n.executor = proxy.NewExecutor(proxy.Options{Self: n.self, Now: n.Now, Local: n.local.Load, Want: n.want, Call: n.Call, Draw: draw, Pool: n.pool, Loads: n.loads, Kept: n.kept, Log: n.log.With("part", "proxy")})
 	finder := directory.New(directory.Options{Self: n.self, Now: n.Now, Local: n.local.Load, Want: n.want, Draw: draw})
 	door := control.New(control.Options{Self: n.self, Now: n.Now, Local: n.local.Load, Operate: n.operate, Stats: n.executor.Stats, Keeper: n.keeper.State,
 		Disk: func() control.Disk { return *n.disk.Load() }, Match: finder})
@@ -348,6 +350,10 @@
 		if f.System == local.System {
 			n.answer(f, &schema.Frame{Body: &schema.Frame_ClaimCopyOutcome{ClaimCopyOutcome: n.keeper.Copy(n.Now(), body.ClaimCopy)}})
 		}
+	case *schema.Frame_Replay:
+		if f.System == local.System {
+			n.answer(f, &schema.Frame{Body: &schema.Frame_ReplayOutcome{ReplayOutcome: n.kept.Replay(body.Replay)}})
+		}
 	case nil:
 		n.log.Warn("frame without body ignored", "from", f.From)
 	default:
--- a/internal/proxy/course.go
+++ b/internal/proxy/course.go
@@ -29,6 +29,7 @@
 	OrderClaim
 	OrderListen
 	OrderRelease
+	OrderReplay
 )
 
 // ClaimCall is one claim for one keeper.
@@ -49,6 +50,7 @@
 	Limit   uint64
 	IsBound bool
 	Claims  []ClaimCall
+	Replay  *schema.Replay
 	Outcome *Outcome
 	Fault   *DeclineError
 	Keeps   bool
@@ -66,6 +68,7 @@
 	EventAnswered
 	EventClaimed
 	EventReleased
+	EventReplayed
 )
 
 // Event answers an order: a connection or its fault, a whole answer or its fault, a keeper's word or none.
@@ -76,6 +79,7 @@
 	IsTouched bool
 	IsGone    bool
 	Claimed   *schema.ClaimOutcome
+	Replayed  *schema.ReplayOutcome
 }
 
 type phase int
@@ -90,12 +94,14 @@
 	phaseConnect
 	phaseLeg
 	phaseRelease
+	phaseReplay
 )
 
 // CourseOptions make a Course.
 type CourseOptions struct {
 	Self   *schema.Node
 	Loads  *Loads
+	Kept   *Kept
 	Draw   func(int64) int64
 	Query  *Query
 	Holder string
@@ -122,6 +128,7 @@
 	asked     int
 	taken     int
 	elsewhere int
+	holder    string
 	silence   time.Duration
 	legs      int
 	isTouched bool
@@ -171,6 +178,8 @@
 		return c.answered(e)
 	case phaseRelease:
 		return c.released()
+	case phaseReplay:
+		return c.replayed(e)
 	}
 	return c.turn(false)
 }
@@ -248,12 +257,40 @@
 
 func (c *Course) released() Order {
 	if c.isFinal {
-		return c.reply(c.fault)
+		return c.replay()
 	}
 	c.phase = phaseClaimPause
 	return Order{Kind: OrderWait, For: constants.ParkStep}
 }
 
+func (c *Course) replay() Order {
+	id, _, _ := strings.Cut(c.holder, "/")
+	c.holder = ""
+	if id == c.Self.Id {
+		return c.sealedBefore(c.Kept.Get(c.Query.Attempt, c.Query.Digest))
+	}
+	node := c.local.View.Nodes[id]
+	if id == "" || node == nil {
+		return c.reply(c.fault)
+	}
+	c.phase = phaseReplay
+	return Order{Kind: OrderReplay, For: constants.ClaimWait, Address: node.Address, Replay: &schema.Replay{Attempt: c.Query.Attempt, Digest: c.Query.Digest}}
+}
+
+func (c *Course) replayed(e Event) Order {
+	if !e.Replayed.GetKept() {
+		return c.reply(c.fault)
+	}
+	return c.sealedBefore(replayed(e.Replayed))
+}
+
+func (c *Course) sealedBefore(o *Outcome) Order {
+	if o == nil || o.Header.Get(HeaderAttempt) != c.Query.Attempt || o.Header.Get(HeaderDigest) != Seal(o.Body) {
+		return c.reply(c.fault)
+	}
+	return Order{Kind: OrderReply, Outcome: o}
+}
+
 func (c *Course) claim() Order {
 	d := c.decision
 	members := claim.Match(d.Keepers, c.Query.Attempt)
@@ -283,6 +320,7 @@
 		c.taken++
 	case schema.ClaimState_CLAIM_HELD:
 		c.elsewhere++
+		c.holder = cmp.Or(e.Claimed.Holder, c.holder)
 	case schema.ClaimState_CLAIM_SILENT:
 		c.silence = time.Duration(e.Claimed.LeftMs) * time.Millisecond
 	}
@@ -370,7 +408,11 @@
 	c.endKeyed(err != nil)
 	if err == nil {
 		c.Loads.Report(d.Backend.Instance, nil)
-		return Order{Kind: OrderReply, Outcome: &Outcome{e.Outcome.Status, strip(e.Outcome.Header), e.Outcome.Body}, Keeps: true}
+		outcome := &Outcome{e.Outcome.Status, strip(e.Outcome.Header), e.Outcome.Body}
+		if !d.IsSafe {
+			c.Kept.Put(c.now, c.Query, outcome)
+		}
+		return Order{Kind: OrderReply, Outcome: outcome, Keeps: true}
 	}
 	c.tried[d.Backend.Instance] = true
 	c.lastFault = err.Error()
--- a/internal/proxy/executor.go
+++ b/internal/proxy/executor.go
@@ -31,6 +31,7 @@
 	Draw  func(int64) int64
 	Pool  *Pool
 	Loads *Loads
+	Kept  *Kept
 	Log   *slog.Logger
 }
 
@@ -127,7 +128,7 @@
 
 // Run carries a query until it has its one outcome.
 func (x *Executor) Run(ctx context.Context, q *Query, begun time.Duration) (*Outcome, *DeclineError) {
-	course := NewCourse(CourseOptions{Self: x.options.Self, Loads: x.options.Loads, Draw: x.options.Draw, Query: q, Begun: begun,
+	course := NewCourse(CourseOptions{Self: x.options.Self, Loads: x.options.Loads, Kept: x.options.Kept, Draw: x.options.Draw, Query: q, Begun: begun,
 		Holder: fmt.Sprintf("%s/%d", x.options.Self.Id, x.serial.Add(1))})
 	defer func() { x.stats[3].Add(uint64(course.Repeats)) }()
 	ctx, cancel := context.WithTimeout(ctx, q.Wait)
@@ -179,6 +180,8 @@
 			event = Event{Kind: EventClaimed, Claimed: <-answers}
 		case OrderListen:
 			event = Event{Kind: EventClaimed, Claimed: <-answers}
+		case OrderReplay:
+			event = Event{Kind: EventReplayed, Replayed: x.replay(ctx, order)}
 		case OrderRelease:
 			answers = x.claim(context.WithoutCancel(ctx), order)
 			for range order.Claims {
@@ -189,6 +192,16 @@
 	}
 }
 
+func (x *Executor) replay(ctx context.Context, order Order) *schema.ReplayOutcome {
+	ctx, cancel := context.WithTimeout(ctx, order.For)
+	defer cancel()
+	frame, err := x.options.Call(ctx, order.Address, &schema.Frame{Body: &schema.Frame_Replay{Replay: order.Replay}})
+	if err != nil {
+		return nil
+	}
+	return frame.GetReplayOutcome()
+}
+
 func (x *Executor) claim(ctx context.Context, order Order) chan *schema.ClaimOutcome {
 	answers := make(chan *schema.ClaimOutcome, len(order.Claims))
 	ctx, cancel := context.WithTimeout(ctx, order.For)
--- /dev/null
+++ b/internal/proxy/kept.go
@@ -0,0 +1,97 @@
+package proxy
+
+import (
+	"bytes"
+	"net/http"
+	"sync"
+	"time"
+
+	"topazshed/internal/constants"
+	"topazshed/internal/schema"
+)
+
+type keptOutcome struct {
+	attempt string
+	digest  []byte
+	outcome *Outcome
+	at      time.Duration
+	size    int
+}
+
+type keptShard struct {
+	lock   sync.Mutex
+	held   map[string]*keptOutcome
+	order  []*keptOutcome
+	weight int
+}
+
+// Kept are the sealed outcomes of unsafe queries that this proxy still has, for repeats of their attempt ids.
+type Kept struct {
+	shards [shards]keptShard
+}
+
+// NewKept makes an empty table.
+func NewKept() *Kept {
+	k := &Kept{}
+	for i := range k.shards {
+		k.shards[i].held = map[string]*keptOutcome{}
+	}
+	return k
+}
+
+// Put keeps an outcome within the bound of bytes.
+func (k *Kept) Put(now time.Duration, q *Query, o *Outcome) {
+	size := len(o.Body) + len(q.Attempt) + 512
+	if size > constants.KeptOutcome {
+		return
+	}
+	s := &k.shards[shardOf(q.Attempt)]
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	fresh := &keptOutcome{q.Attempt, q.Digest, o, now, size}
+	s.held[q.Attempt] = fresh
+	s.order = append(s.order, fresh)
+	s.weight += size
+	for len(s.order) > 0 && (s.weight > constants.KeptBytes/shards || now-s.order[0].at >= constants.ClaimKept) {
+		oldest := s.order[0]
+		s.order = s.order[1:]
+		s.weight -= oldest.size
+		if s.held[oldest.attempt] == oldest {
+			delete(s.held, oldest.attempt)
+		}
+	}
+}
+
+// Get gives the outcome of an attempt id for the same query, or nil.
+func (k *Kept) Get(attempt string, digest []byte) *Outcome {
+	s := &k.shards[shardOf(attempt)]
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	if kept := s.held[attempt]; kept != nil && bytes.Equal(kept.digest, digest) {
+		return kept.outcome
+	}
+	return nil
+}
+
+// Replay answers another proxy.
+func (k *Kept) Replay(query *schema.Replay) *schema.ReplayOutcome {
+	o := k.Get(query.Attempt, query.Digest)
+	if o == nil {
+		return &schema.ReplayOutcome{}
+	}
+	replay := &schema.ReplayOutcome{Kept: true, Status: uint32(o.Status), Body: o.Body}
+	for name, values := range o.Header {
+		for _, value := range values {
+			replay.Header = append(replay.Header, &schema.HeaderField{Name: name, Value: value})
+		}
+	}
+	return replay
+}
+
+func replayed(replay *schema.ReplayOutcome) *Outcome {
+	o := &Outcome{Status: int(replay.Status), Header: http.Header{}, Body: replay.Body}
+	for _, field := range replay.Header {
+		o.Header.Add(field.Name, field.Value)
+	}
+	return o
+}
--- a/internal/sim/sim.go
+++ b/internal/sim/sim.go
@@ -59,6 +59,7 @@
 	driver    *core.Driver
 	keeper    *claim.Keeper
 	loads     *proxy.Loads
+	kept      *proxy.Kept
 	rate      float64
 	offset    time.Duration
 	frozen    time.Duration
@@ -256,6 +257,7 @@
 	}
 	n.keeper = claim.NewKeeper(n.ident, options.Restart)
 	n.loads = proxy.NewLoads(func() time.Duration { return f.clock(n) })
+	n.kept = proxy.NewKept()
 	n.fails = map[string]int{}
 	n.calls = map[uint64]func(*schema.Frame){}
 	n.core = core.New(f.clock(n), options)
@@ -471,6 +473,8 @@
 		reply(&schema.Frame{Body: &schema.Frame_ClaimOutcome{ClaimOutcome: f.take(n, body.Claim)}})
 	case *schema.Frame_ClaimCopy:
 		reply(&schema.Frame{Body: &schema.Frame_ClaimCopyOutcome{ClaimCopyOutcome: n.keeper.Copy(f.clock(n), body.ClaimCopy)}})
+	case *schema.Frame_Replay:
+		reply(&schema.Frame{Body: &schema.Frame_ReplayOutcome{ReplayOutcome: n.kept.Replay(body.Replay)}})
 	default:
 		n.core.Receive(f.clock(n), frame)
 		f.perform(n)
--- a/internal/sim/sim_test.go
+++ b/internal/sim/sim_test.go
@@ -91,6 +91,18 @@
 	}
 }
 
+func TestARepeatOfAnAttemptGetsItsSealedAnswer(t *testing.T) {
+	f, err := Play(*Find("calm"), 3, "")
+	if err != nil {
+		t.Fatal(err)
+	}
+	verify(t, f)
+	sealed, doubtful := f.Counts["impatient sealed"]+f.Counts["late repeat sealed"], f.Counts["impatient doubtful"]+f.Counts["late repeat doubtful"]
+	if sealed == 0 || doubtful > sealed {
+		t.Errorf("of the repeated ids %d got the sealed answer, %d were doubtful", sealed, doubtful)
+	}
+}
+
 func TestManyNodesAreServedSoon(t *testing.T) {
 	for seed := int64(1); seed <= 3; seed++ {
 		f := begin(t, Options{Seed: seed, Regions: 3, Districts: 2, PerDistrict: 8, Services: 60, Backends: 3})
--- a/internal/sim/traffic.go
+++ b/internal/sim/traffic.go
@@ -106,7 +106,7 @@
 		q.Seal()
 		n.serial++
 		c := &carried{fleet: f, node: n, boot: n.Boot, id: n.serial, query: q, respond: respond}
-		c.course = proxy.NewCourse(proxy.CourseOptions{Self: &schema.Node{Id: n.ident, District: n.District, Region: n.Region}, Loads: n.loads, Draw: n.random.Int63n, Query: q,
+		c.course = proxy.NewCourse(proxy.CourseOptions{Self: &schema.Node{Id: n.ident, District: n.District, Region: n.Region}, Loads: n.loads, Kept: n.kept, Draw: n.random.Int63n, Query: q,
 			Holder: fmt.Sprintf("%s/%d", n.ident, n.serial), Begun: f.clock(n)})
 		n.flying[c.id] = c
 		c.next(0, proxy.Event{Kind: proxy.EventBegun})
@@ -167,6 +167,10 @@
 		c.claim(step, order, func(o *schema.ClaimOutcome) {
 			c.next(step, proxy.Event{Kind: proxy.EventClaimed, Claimed: o})
 		})
+	case proxy.OrderReplay:
+		tell := func(o *schema.ReplayOutcome) { c.next(step, proxy.Event{Kind: proxy.EventReplayed, Replayed: o}) }
+		f.after(order.For, func() { tell(nil) })
+		f.call(n, order.Address, &schema.Frame{Body: &schema.Frame_Replay{Replay: order.Replay}}, func(o *schema.Frame) { tell(o.GetReplayOutcome()) })
 	case proxy.OrderRelease:
 		left := len(order.Claims)
 		c.claim(step, order, func(*schema.ClaimOutcome) {
