--- a/internal/constants/constants.go
+++ b/internal/constants/constants.go
@@ -45,6 +45,8 @@
 	StandingPlanEvery = 200 * time.Millisecond
 	// StandingSettle (time) keeps a fresh leader from judging nodes that could not have reported yet.
 	StandingSettle = 2 * time.Second
+	// GroupIncrement (numbers) is the failover increment of routed fleets: 46 regions with 182 zones need 46 + 182 + 46 residues, some zones lost at once many more.
+	GroupIncrement = 10000
 	// Increment (numbers) is the failover increment: the source's example, room for 50 groups and 50 regions.
 	Increment = 100
 
--- a/internal/image/table.go
+++ b/internal/image/table.go
@@ -19,6 +19,9 @@
 // Common are the prefixes that every node subscribes to.
 var Common = []string{"catalog/head", "district/", "keepers/", "node/", "region/", "system"}
 
+// Routed are the prefixes that every node of a routed fleet subscribes to.
+var Routed = []string{"catalog/head", "district/", "group/", "limits", "node/", "region/", "route/", "s/", "standing/", "system"}
+
 // All is the prefix of everything.
 var All = []string{""}
 
@@ -42,6 +45,13 @@
 func BackendKey(service, instance string) string {
 	return ServicePrefix(service) + "backend/" + instance
 }
+func RouteKey(host, prefix string) string { return "route/" + host + prefix }
+func GroupKey(name string) string         { return "group/" + name }
+func DefaultKey(region string) string     { return "standing/" + region }
+func PolicyKey(service string) string     { return ServicePrefix(service) + "policy" }
+func SpanKey(service string, first uint32) string {
+	return fmt.Sprintf("%sspan/%05d", ServicePrefix(service), first)
+}
 func SlotKey(service string, slot uint32) string {
 	return fmt.Sprintf("%sslot/%03d", ServicePrefix(service), slot)
 }
@@ -51,6 +61,7 @@
 	HeadKey     = "catalog/head"
 	DocumentKey = "catalog/document"
 	SystemKey   = "system"
+	LimitsKey   = "limits"
 )
 
 // Put makes a row of a message.
--- a/internal/image/view.go
+++ b/internal/image/view.go
@@ -17,6 +17,27 @@
 	Entities  map[string]*schema.Entity
 	Backends  []*schema.Backend
 	Slots     map[uint32]*schema.KeyRange
+	Policy    *schema.ServicePolicy
+	Spans     []*schema.KeySpan
+}
+
+// Span gives the span that a key lies in, or nil.
+func (s *Service) Span(key uint32) *schema.KeySpan {
+	i := sort.Search(len(s.Spans), func(i int) bool { return s.Spans[i].Last >= key })
+	if i < len(s.Spans) && s.Spans[i].First <= key {
+		return s.Spans[i]
+	}
+	return nil
+}
+
+// Backend gives the back end of that instance, or nil.
+func (s *Service) Backend(instance string) *schema.Backend {
+	for _, backend := range s.Backends {
+		if backend.Instance == instance {
+			return backend
+		}
+	}
+	return nil
 }
 
 // View is the compiled image that queries are decided on; it is never changed once published.
@@ -29,12 +50,27 @@
 	Districts map[string]*schema.District
 	Keepers   map[string]*schema.Keepers
 	Services  map[string]*Service
+	Groups    map[string]*schema.Group
+	Hosts     map[string][]*schema.Route
+	Limits    *schema.Limits
+	Defaults  map[string]*schema.Standing
+}
+
+// Route matches a host and path to the route with the longest fitting prefix, or nil.
+func (v *View) Route(host, path string) *schema.Route {
+	for _, route := range v.Hosts[host] {
+		if strings.HasPrefix(path, route.Prefix) {
+			return route
+		}
+	}
+	return nil
 }
 
 // NewView makes an empty view.
 func NewView() *View {
 	return &View{Head: &schema.CatalogHead{}, Nodes: map[string]*schema.Node{}, Regions: map[string]*schema.Region{},
-		Districts: map[string]*schema.District{}, Keepers: map[string]*schema.Keepers{}, Services: map[string]*Service{}}
+		Districts: map[string]*schema.District{}, Keepers: map[string]*schema.Keepers{}, Services: map[string]*Service{},
+		Groups: map[string]*schema.Group{}, Hosts: map[string][]*schema.Route{}, Limits: &schema.Limits{}, Defaults: map[string]*schema.Standing{}}
 }
 
 // Entry matches a path to the service's entry with the longest fitting path.
@@ -64,7 +100,8 @@
 func (v *View) With(table *Table, changed []*schema.Row) *View {
 	fresh := *v
 	fresh.Version = table.Version()
-	var nodes, regions, districts, keepers bool
+	var nodes, regions, districts, keepers, groups, defaults bool
+	hosts := map[string]bool{}
 	touched := map[string]bool{}
 	for _, row := range changed {
 		kind, rest, _ := strings.Cut(row.Key, "/")
@@ -77,6 +114,17 @@
 			fresh.Districts = update(fresh.Districts, &districts, rest, Decode[schema.District](row))
 		case "keepers":
 			fresh.Keepers = update(fresh.Keepers, &keepers, rest, Decode[schema.Keepers](row))
+		case "group":
+			fresh.Groups = update(fresh.Groups, &groups, rest, Decode[schema.Group](row))
+		case "limits":
+			if limits := Decode[schema.Limits](row); limits != nil {
+				fresh.Limits = limits
+			}
+		case "standing":
+			fresh.Defaults = update(fresh.Defaults, &defaults, rest, Decode[schema.Standing](row))
+		case "route":
+			host, _, _ := strings.Cut(rest, "/")
+			hosts[host] = true
 		case "system":
 			fresh.System = string(row.Value)
 		case "catalog":
@@ -90,6 +138,16 @@
 			touched[name] = true
 		}
 	}
+	if len(hosts) > 0 {
+		fresh.Hosts = maps.Clone(fresh.Hosts)
+		for host := range hosts {
+			if routes := compileHost(table, host); len(routes) > 0 {
+				fresh.Hosts[host] = routes
+			} else {
+				delete(fresh.Hosts, host)
+			}
+		}
+	}
 	if len(touched) > 0 {
 		fresh.Services = maps.Clone(fresh.Services)
 		for name := range touched {
@@ -103,6 +161,17 @@
 	return &fresh
 }
 
+func compileHost(table *Table, host string) []*schema.Route {
+	var routes []*schema.Route
+	table.Each(RouteKey(host, "/"), func(row *schema.Row) {
+		if route := Decode[schema.Route](row); route != nil {
+			routes = append(routes, route)
+		}
+	})
+	sort.SliceStable(routes, func(a, b int) bool { return len(routes[a].Prefix) > len(routes[b].Prefix) })
+	return routes
+}
+
 func compile(table *Table, name string) *Service {
 	service := &Service{Name: name, Standings: map[string]map[string]*schema.Standing{}, Entities: map[string]*schema.Entity{}, Slots: map[uint32]*schema.KeyRange{}}
 	prefix := ServicePrefix(name)
@@ -130,6 +199,12 @@
 			if backend := Decode[schema.Backend](row); backend != nil {
 				service.Backends = append(service.Backends, backend)
 			}
+		case "policy":
+			service.Policy = Decode[schema.ServicePolicy](row)
+		case "span":
+			if span := Decode[schema.KeySpan](row); span != nil {
+				service.Spans = append(service.Spans, span)
+			}
 		case "slot":
 			if slot := Decode[schema.KeyRange](row); slot != nil {
 				service.Slots[slot.Slot] = slot
--- a/internal/standing/standing.go
+++ b/internal/standing/standing.go
@@ -188,6 +188,9 @@
 
 // Check is asked of every row before it is applied: numbers never fall and residues are never given anew.
 func Check(table *image.Table, row *schema.Row) error {
+	if isPlace, err := checkPlace(table, row); isPlace {
+		return err
+	}
 	old := table.Get(row.Key)
 	var was, is uint64
 	switch {
