--- a/cmd/topazshed/main.go
+++ b/cmd/topazshed/main.go
@@ -17,6 +17,7 @@
 	subcommands.Register(subcommands.CommandsCommand(), "")
 	subcommands.Register(subcommands.FlagsCommand(), "")
 	subcommands.Register(&serveCommand{}, "machines")
+	subcommands.Register(&platformCommand{}, "machines")
 	subcommands.Register(&putCommand{}, "operators")
 	subcommands.Register(&showCommand{}, "operators")
 	subcommands.Register(&districtCommand{isEmpty: true}, "operators")
--- /dev/null
+++ b/cmd/topazshed/platform.go
@@ -0,0 +1,85 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"log/slog"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+
+	"github.com/google/subcommands"
+
+	"topazshed/internal/constants"
+	"topazshed/internal/node"
+	"topazshed/internal/settings"
+	"topazshed/platform"
+)
+
+type platformCommand struct{ level slog.LevelVar }
+
+func (*platformCommand) Name() string { return "platform" }
+func (*platformCommand) Synopsis() string {
+	return "run this machine's process as the platform's settings file says"
+}
+func (*platformCommand) Usage() string {
+	return "platform [-log-level LEVEL]\nThe settings file is named by " + platform.Variable + ".\n"
+}
+func (c *platformCommand) SetFlags(flags *flag.FlagSet) {
+	flags.TextVar(&c.level, "log-level", &c.level, "debug, info, warn or error")
+}
+
+func (c *platformCommand) Execute(_ context.Context, flags *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if flags.NArg() > 0 {
+		fmt.Fprintf(os.Stderr, "platform takes no arguments, only flags: %q\n", flags.Args())
+		return subcommands.ExitUsageError
+	}
+	file, own, bounds, err := platform.Read()
+	if err != nil {
+		var faults *settings.FaultsError
+		if errors.As(err, &faults) {
+			for _, fault := range faults.Faults {
+				fmt.Fprintf(os.Stderr, "setting %s %s\n", fault.Field, fault.Message)
+			}
+		} else {
+			fmt.Fprintln(os.Stderr, err)
+		}
+		return subcommands.ExitUsageError
+	}
+	if file.Limits.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(file.Limits.MemoryMB * (1 << 20) * constants.MemoryShare))
+	}
+	log := slog.New(slog.NewJSONHandler(os.Stderr, &slog.HandlerOptions{Level: &c.level}))
+	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer cancel()
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
+	go func() {
+		for {
+			select {
+			case <-hangups:
+				if _, _, _, err := platform.Read(); err != nil {
+					log.Error("the changed settings are not taken; mend every fault", "faults", err.Error())
+				} else {
+					log.Info("the changed settings are good; they are taken at the next start")
+				}
+			case <-ctx.Done():
+				return
+			}
+		}
+	}()
+	n, err := node.StartRouted(own, log, node.OpenFolder, platform.Seam(file, bounds))
+	if err != nil {
+		log.Error("did not start", "reason", err.Error())
+		return subcommands.ExitFailure
+	}
+	if err := n.Wait(ctx); err != nil {
+		log.Error("ended with a fault", "reason", err.Error())
+		return subcommands.ExitFailure
+	}
+	return subcommands.ExitSuccess
+}
--- a/internal/constants/constants.go
+++ b/internal/constants/constants.go
@@ -194,6 +194,8 @@
 	JournalFiles = 4
 	// JournalFileBytes (bytes) of one preallocated file: a put of the largest document fits four times.
 	JournalFileBytes = 8 << 20
+	// JournalDiskParts (parts) of a bounded disk: one for each ring file, two for each image area; seven eighths stay free.
+	JournalDiskParts = 64
 	// ImageFileBytes (bytes) of one of the two preallocated image areas.
 	ImageFileBytes = 16 << 20
 	// SlowSync (time) of one sync at which a leader hands over.
@@ -205,4 +207,99 @@
 	StopMost = StopLinger + WaitMost
 	// StaleList (time) is the list's age at which doctor complains.
 	StaleList = 10 * time.Second
+
+	// Keys (keys) of a keyed service of a routed fleet: 0 to 65535.
+	Keys = 1 << 16
+	// HeatBuckets (buckets) in which a node counts the requests of a keyed service: 256 keys each, so that a beat with them stays small.
+	HeatBuckets = 256
+	// HeatEvery (time) is how often a beat carries them.
+	HeatEvery = 2 * time.Second
+	// RetryParts (slots) divide the retry window: a hundredth of it is lost at each edge.
+	RetryParts = 100
+	// RetrySlots (slots) are kept: the window, its margins and room for the slot that is being reused.
+	RetrySlots = 128
+	// ColdSpare (requests a second) of what the fleet may send to a cold back end are left: those counted in one second that arrive in the next.
+	ColdSpare = 1
+	// ColdSecond (time) is the second in which requests to a cold back end are counted, longer by what a request may be under way.
+	ColdSecond = 1100 * time.Millisecond
+	// DelayWeight (parts) of a back end's newest delay in its running mean: about the last eight count.
+	DelayWeight = 0.12
+	// UnknownDelay (parts of the aim) is taken for a back end that has served nothing yet.
+	UnknownDelay = 0.25
+	// DistrictPenalty (parts of the aim) is what a back end in another district must be quicker by: bytes between districts are paid for.
+	DistrictPenalty = 0.5
+	// RegionPenalty (parts of the aim) is the same for another region: eight times as dear.
+	RegionPenalty = 1.5
+	// ColdPenalty (times) makes a cold back end dearer: it works at half its pace.
+	ColdPenalty = 2.0
+	// CostJitter (parts) is drawn on top of a cost, so that nodes do not all choose the same.
+	CostJitter = 0.1
+	// FailuresToRest (failures) in a row after which a back end rests.
+	FailuresToRest = 2
+	// RestLeast (time) of a resting back end, doubled at each failure more.
+	RestLeast = 300 * time.Millisecond
+	// RestMost (time) of a resting back end: one attempt then shows whether it is back.
+	RestMost = 2 * time.Second
+	// SearchesMost (back ends) are sought for one request, connected or not.
+	SearchesMost = 5
+	// BackendConnect (time) bounds a connection to a back end: two ways over the longest link and a busy machine.
+	BackendConnect = 400 * time.Millisecond
+	// BackendSilence (time) without word that sent bytes arrived after which a connection is given up: eight ways over the longest link.
+	BackendSilence = 700 * time.Millisecond
+	// KeepAliveIdle (time) of silence before a connection is probed.
+	KeepAliveIdle = time.Second
+	// KeepAliveEvery (time) between two probes.
+	KeepAliveEvery = time.Second
+	// KeepAliveCount (probes) without answer end a connection.
+	KeepAliveCount = 2
+	// IdleDefault (time) that a connection may lie idle if its back end says nothing.
+	IdleDefault = 8 * time.Second
+	// IdleMargin (time) before a back end closes an idle connection by which it is no longer used.
+	IdleMargin = 1500 * time.Millisecond
+	// IdleMost (connections) to one back end are kept idle.
+	IdleMost = 16
+	// KeepAnswer (bytes) of an answer are read before the first byte goes to the caller, so that a broken one can be sought elsewhere.
+	KeepAnswer = 64 << 10
+	// KeepBody (bytes) of a request are kept so that it can be sent again; longer ones stream and are sent once.
+	KeepBody = 64 << 10
+	// SurplusMost (answers) of other requests are passed over on one connection.
+	SurplusMost = 2
+	// RefuseAfter (time) a refused caller is told to wait when back ends are busy: about one request's work.
+	RefuseAfter = 250 * time.Millisecond
+	// RefuseAfterMove (time) is the same while keys move or back ends are cold.
+	RefuseAfterMove = 400 * time.Millisecond
+	// RouteTimeoutMost (time) is the longest time-out of a route.
+	RouteTimeoutMost = 10 * time.Minute
+	// RouteTargetOver (time) is how much a route's target may be above its time-out.
+	RouteTargetOver = time.Minute
+	// RecentConfigs (configurations) are remembered by version and digest, so that one sent again is known: minutes of a storm of them.
+	RecentConfigs = 64
+	// ColdAfter (time) is added to what the list says that a back end stays cold: its clock, the way and a row's spread.
+	ColdAfter = 200 * time.Millisecond
+	// SettleMargin (time) beyond the list's lag after which it tells of a district that was given back.
+	SettleMargin = 300 * time.Millisecond
+	// SponsorsMost (nodes) share what a cold back end bears: whole requests a second remain for each.
+	SponsorsMost = 4
+	// ListEvery (time) is the pause between reads of a routed fleet's list: draining ones are known well within 2.5 s.
+	ListEvery = 400 * time.Millisecond
+	// ListCall (time) bounds one page's call.
+	ListCall = 700 * time.Millisecond
+	// TendEvery (time) is how often a gateway drops idle connections and unknown back ends.
+	TendEvery = time.Second
+	// RefusedApart (time) is how far apart two refused connections prove that a back end's process has ended.
+	RefusedApart = 150 * time.Millisecond
+	// DrainShare (parts) of a stop's grace in which requests in flight may still end.
+	DrainShare = 0.9
+	// ResolveLife (time) is how long a caller of a routed fleet may use a directory's answer: a lost node is out of them all soon.
+	ResolveLife = 2 * time.Second
+	// ResolveLeast (nodes) of the caller's own district are enough for an answer; with fewer, the region's others are added.
+	ResolveLeast = 2
+	// ResolveMost (nodes) are handed out at most.
+	ResolveMost = 64
+	// ListPagesMost (pages) of one read of the list: 78000 back ends in pages of 50, and more than a list that never ends.
+	ListPagesMost = 2000
+	// RoutesDocumentLimit (bytes) of a routed fleet's configuration: half a frame.
+	RoutesDocumentLimit = 8 << 20
+	// MemoryShare (parts) of a machine's memory the runtime may take before it collects harder.
+	MemoryShare = 0.6
 )
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -13,6 +13,7 @@
 
 	"topazshed/internal/constants"
 	"topazshed/internal/image"
+	"topazshed/internal/keys"
 	"topazshed/internal/neighbours"
 	"topazshed/internal/quorum"
 	"topazshed/internal/roster"
@@ -31,6 +32,10 @@
 	Draw    func(int64) int64
 	Log     *slog.Logger
 	Restart bool
+	// Rejoin says that the system was founded before, so that this node never founds one.
+	Rejoin bool
+	// Routed says that this fleet carries routes: attempt ids are never sent twice, so that claims and fences are not needed.
+	Routed *Routed
 }
 
 // Send is a frame for an address.
@@ -51,6 +56,7 @@
 	Hard     *schema.HardState
 	Sends    []Send
 	Outcomes []Outcome
+	Calls    []keys.Call
 	IsWork   bool
 }
 
@@ -176,6 +182,7 @@
 	openedAs   map[string]uint64
 	addresses  map[string]string
 	toldAt     time.Duration
+	routed     *routedState
 }
 
 // New restores a node from its journal, or makes an empty one.
@@ -185,6 +192,9 @@
 		wanted: map[string]time.Duration{}, subs: map[uint64]time.Duration{}, subscriber: map[string]*subscriber{}, nodes: map[string]*granted{},
 		releasedAt: map[uint64]time.Duration{}, reads: map[uint64]*waiter{}, seeds: map[string]time.Duration{}, empties: map[string]bool{},
 		peers: map[string]time.Duration{}, pending: map[string]uint64{}, verdicts: map[uint64]string{}, fences: map[string]time.Duration{}, opened: map[string]time.Duration{}, openedAs: map[string]uint64{}, addresses: map[string]string{}, now: now, tickedAt: now}
+	if options.Routed != nil {
+		c.routed = newRoutedState(options)
+	}
 	c.near = neighbours.New(neighbours.Options{Self: c.self, Seeds: options.Seeds, Draw: options.Draw})
 	if options.Self.Disk {
 		if options.Image != nil {
@@ -423,7 +433,7 @@
 			}
 		}
 	}
-	if c.quorum == nil || c.quorum.Last() > 0 || c.options.Hard.GetId() != "" && c.options.Restart {
+	if c.quorum == nil || c.quorum.Last() > 0 || c.options.Rejoin || c.options.Hard.GetId() != "" && c.options.Restart {
 		return
 	}
 	seeds := slices.Sorted(slices.Values(c.options.Seeds))
@@ -457,6 +467,9 @@
 	c.beats[c.serial] = c.now
 	delete(c.beats, c.serial-64)
 	b := &schema.Beat{Node: proto.Clone(c.self).(*schema.Node), Version: c.table.Version(), Vitals: c.vitals, Suspects: c.near.Suspects(), Serial: c.serial, Keepers: c.keepers, KeeperReady: c.isKeeping, Floor: c.floor}
+	if c.routed != nil {
+		b.Heat = c.routed.takeHeat(c.now)
+	}
 	if c.quorum != nil && c.quorum.Role() == quorum.Leader {
 		c.takeBeat(&schema.Frame{From: c.self.Id, Address: c.self.Address}, b)
 		return
@@ -502,6 +515,9 @@
 			g.floor = min(b.Floor, b.Version)
 		}
 		c.rost.Report(b.Node.Id, b.Vitals)
+		if c.routed != nil && len(b.Heat) > 0 {
+			c.routed.heats[b.Node.Id] = nodeHeat{c.now, b.Heat}
+		}
 		row := c.view.Nodes[b.Node.Id]
 		isKnown := row != nil && row.State != schema.NodeState_NODE_LOST && b.Node.State == row.State
 		if isKnown {
@@ -549,6 +565,9 @@
 }
 
 func (c *Core) prefixes() []string {
+	if c.routed != nil {
+		return image.Routed
+	}
 	return slices.Concat(image.Common, slices.Sorted(maps.Keys(c.wanted)))
 }
 
@@ -770,7 +789,7 @@
 			effects.Hard.Id, effects.Hard.System = c.self.Id, c.system
 		}
 	}
-	effects.IsWork = effects.Hard != nil || len(effects.Quorum.Items) > 0 || effects.Quorum.Image != nil || len(effects.Sends) > 0 || len(effects.Outcomes) > 0 ||
+	effects.IsWork = effects.Hard != nil || len(effects.Quorum.Items) > 0 || effects.Quorum.Image != nil || len(effects.Sends) > 0 || len(effects.Outcomes) > 0 || len(effects.Calls) > 0 ||
 		len(effects.Quorum.Reads) > 0 || len(effects.Quorum.LostReads) > 0
 	return effects
 }
@@ -782,7 +801,7 @@
 		c.refresh()
 		c.spread()
 	}
-	effects := Effects{Sends: c.effects.Sends, Outcomes: c.effects.Outcomes}
+	effects := Effects{Sends: c.effects.Sends, Outcomes: c.effects.Outcomes, Calls: c.effects.Calls}
 	c.effects = Effects{}
 	return effects
 }
@@ -868,6 +887,7 @@
 		c.settle(item)
 	}
 	c.publish(changed)
+	c.resumeDeferred()
 }
 
 // Compactable tells whether a new image should be written.
--- a/internal/core/driver.go
+++ b/internal/core/driver.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"topazshed/internal/journal"
+	"topazshed/internal/keys"
 	"topazshed/internal/schema"
 )
 
@@ -16,6 +17,7 @@
 	Now     func() time.Duration
 	Send    func(to string, f *schema.Frame)
 	Answer  func(Outcome)
+	Granted func(keys.Call)
 	Synced  func(took time.Duration, err error)
 	Publish func()
 	Write   func(work func() error, done func(error))
@@ -93,6 +95,9 @@
 	for _, o := range effects.Outcomes {
 		d.Answer(o)
 	}
+	for _, call := range effects.Calls {
+		d.Granted(call)
+	}
 }
 
 func (d *Driver) compact(next func()) {
--- a/internal/core/lead.go
+++ b/internal/core/lead.go
@@ -22,6 +22,9 @@
 			c.releasedAt = map[uint64]time.Duration{}
 			c.pending = map[string]uint64{}
 		}
+		if c.routed != nil {
+			c.routed.resign(c.options)
+		}
 		c.wasLeader = false
 		return
 	}
@@ -38,7 +41,11 @@
 	c.planAt = c.now
 	c.planMembers()
 	c.planNodes()
-	if c.now-c.electedAt < constants.StandingSettle && len(c.view.Services) > 0 {
+	if c.routed == nil && c.now-c.electedAt < constants.StandingSettle && len(c.view.Services) > 0 {
+		return
+	}
+	if c.routed != nil {
+		c.leadRouted()
 		return
 	}
 	c.planRoster()
@@ -445,6 +452,8 @@
 		return
 	}
 	switch w.query.Kind {
+	case schema.OperatorKind_OPERATOR_PUT_ROUTES:
+		c.operatePutRoutes(w)
 	case schema.OperatorKind_OPERATOR_PUT:
 		c.operatePut(w)
 	case schema.OperatorKind_OPERATOR_SHOW, schema.OperatorKind_OPERATOR_STATUS, schema.OperatorKind_OPERATOR_ASK:
@@ -519,6 +528,7 @@
 	}
 	fresh := proto.Clone(district).(*schema.District)
 	fresh.Emptied, fresh.Reason = isEmpty, w.query.Reason
+	fresh.Settling = c.routed != nil && !isEmpty
 	c.submit(w, &schema.Record{Kind: schema.RecordKind_RECORD_ROWS, Reason: "district " + district.Name, Rows: []*schema.Row{image.Put(key, fresh)}}, 0)
 }
 
@@ -540,6 +550,10 @@
 				Version: image.Decode[schema.CatalogHead](c.table.Get(image.HeadKey)).GetVersion()})
 		default:
 			c.planAt = 0
+			if c.routed != nil {
+				c.reply(w, &schema.OperatorOutcome{Version: w.query.Base, Index: w.index})
+				continue
+			}
 			w.until = c.now + constants.ConfirmWait
 			c.confirming = append(c.confirming, w)
 		}
@@ -597,6 +611,7 @@
 
 func (c *Core) expire() {
 	c.confirm()
+	c.resumeDeferred()
 	for i := 0; i < len(c.waiters); i++ {
 		if w := c.waiters[i]; c.now > w.until {
 			c.waiters = slices.Delete(c.waiters, i, i+1)
--- /dev/null
+++ b/internal/core/routed.go
@@ -0,0 +1,185 @@
+package core
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"slices"
+	"time"
+
+	"topazshed/internal/constants"
+	"topazshed/internal/image"
+	"topazshed/internal/keys"
+	"topazshed/internal/roster"
+	"topazshed/internal/routes"
+	"topazshed/internal/schema"
+	"topazshed/internal/standing"
+)
+
+// Routed are the figures of a routed fleet's deployment.
+type Routed struct {
+	// HoldMost is the longest hold that back ends take.
+	HoldMost time.Duration
+	// ListLag is how far the list is behind what it tells of.
+	ListLag time.Duration
+	// ColdBearable is how many requests a second the whole fleet may send to a cold back end.
+	ColdBearable func(*schema.ServicePolicy) int
+	// Heat gives the requests by key since it was last asked.
+	Heat func() []*schema.KeyHeat
+}
+
+type nodeHeat struct {
+	at    time.Duration
+	heats []*schema.KeyHeat
+}
+
+type routedState struct {
+	options  *Routed
+	granter  *keys.Granter
+	watch    *roster.Watch
+	listing  *roster.Listing
+	heats    map[string]nodeHeat
+	heatAt   time.Duration
+	dead     map[string]bool
+	deferred []*waiter
+}
+
+func newRoutedState(options Options) *routedState {
+	r := &routedState{options: options.Routed, heats: map[string]nodeHeat{}, dead: map[string]bool{}}
+	r.resign(options)
+	return r
+}
+
+func (r *routedState) resign(options Options) {
+	r.granter = keys.New(keys.Options{Most: options.Routed.HoldMost})
+	r.watch = roster.NewWatch(options.Routed.ListLag)
+	r.listing = nil
+	r.heats = map[string]nodeHeat{}
+	r.dead = map[string]bool{}
+}
+
+func (r *routedState) takeHeat(now time.Duration) []*schema.KeyHeat {
+	if r.options.Heat == nil || now-r.heatAt < constants.HeatEvery {
+		return nil
+	}
+	r.heatAt = now
+	return r.options.Heat()
+}
+
+func (r *routedState) heat(now time.Duration) map[string][]float64 {
+	sums := map[string][]float64{}
+	for id, of := range r.heats {
+		if now-of.at > 2*constants.HeatEvery+constants.HeatEvery/2 {
+			delete(r.heats, id)
+			continue
+		}
+		for _, heat := range of.heats {
+			sum := sums[heat.Service]
+			if sum == nil {
+				sum = make([]float64, constants.HeatBuckets)
+				sums[heat.Service] = sum
+			}
+			for i, count := range heat.Counts[:min(len(heat.Counts), constants.HeatBuckets)] {
+				sum[i] += float64(count) / constants.HeatEvery.Seconds()
+			}
+		}
+	}
+	return sums
+}
+
+// SetListing takes a read of the platform's list of a routed fleet; only the leader uses it.
+func (c *Core) SetListing(now time.Duration, listing roster.Listing) {
+	c.now = now
+	c.listFault = listing.Reason
+	if listing.IsWhole {
+		c.listAt = now
+	}
+	if c.routed != nil && c.IsLeading() {
+		c.routed.listing = &listing
+		c.planAt = 0
+	}
+}
+
+// SetDead tells that a back end's process has surely ended, so that it holds no keys any more.
+func (c *Core) SetDead(instance string) {
+	if c.routed != nil {
+		c.routed.dead[instance] = true
+		c.planAt = 0
+	}
+}
+
+// Granted takes what became of a call to a back end.
+func (c *Core) Granted(now time.Duration, answer keys.Answer) {
+	c.now = now
+	if c.routed != nil {
+		c.routed.granter.Answered(now, answer)
+		c.planAt = 0
+	}
+}
+
+func (c *Core) leadRouted() {
+	r := c.routed
+	listing := r.listing
+	r.listing = nil
+	if record := r.watch.Plan(roster.WatchFacts{Now: c.now, View: c.view, Table: c.table, Listing: listing, ColdBearable: r.options.ColdBearable}); record != nil && c.propose(record) {
+		c.log.Info("back ends changed", "rows", len(record.Rows))
+	} else if record != nil {
+		r.listing = listing
+	}
+	for _, record := range standing.PlanPlaces(c.view, c.table) {
+		if c.propose(record) {
+			c.log.Info("standing", "change", record.Reason)
+		}
+	}
+	effects := r.granter.Step(keys.Facts{Now: c.now, View: c.view, Table: c.table, IsLeading: true, ElectedAt: c.electedAt, LeaseAt: c.quorum.Contact(),
+		Heat: r.heat(c.now), Dead: func(instance string) bool { return r.dead[instance] }})
+	for _, record := range effects.Records {
+		c.propose(record)
+	}
+	c.effects.Calls = append(c.effects.Calls, effects.Calls...)
+}
+
+func (c *Core) operatePutRoutes(w *waiter) {
+	if c.routed == nil {
+		c.reply(w, &schema.OperatorOutcome{Decline: schema.DeclineKind_DECLINE_UNKNOWN, Message: "this fleet carries entries, not routes; put a configuration of entries"})
+		return
+	}
+	if c.pending[image.HeadKey] > c.table.Version() {
+		c.routed.deferred = append(c.routed.deferred, w)
+		return
+	}
+	head := image.Decode[schema.CatalogHead](c.table.Get(image.HeadKey))
+	config := w.query.Routes
+	digest := sha256.Sum256(config.GetDocument())
+	if slices.ContainsFunc(head.GetRecent(), func(a *schema.AcceptedConfig) bool {
+		return a.Version == config.GetVersion() && bytes.Equal(a.Digest, digest[:])
+	}) {
+		c.reply(w, &schema.OperatorOutcome{Version: config.Version, Index: c.table.Get(image.HeadKey).Index})
+		return
+	}
+	if config.GetBase() != head.GetVersion() {
+		c.reply(w, &schema.OperatorOutcome{Decline: schema.DeclineKind_DECLINE_CONFLICT, Version: head.GetVersion(), Message: "another configuration is in place; read it, merge, and put again on its version"})
+		return
+	}
+	if faults := routes.Check(config, head.GetVersion(), c.view); len(faults) > 0 {
+		c.reply(w, &schema.OperatorOutcome{Decline: schema.DeclineKind_DECLINE_INVALID, Version: head.GetVersion(), Message: "the configuration is declined whole; nothing changed", Faults: faults})
+		return
+	}
+	c.submit(w, routes.Plan(c.table, config, digest[:]), config.Version)
+}
+
+func (c *Core) resumeDeferred() {
+	if c.routed == nil || len(c.routed.deferred) == 0 || c.pending[image.HeadKey] > c.table.Version() && c.IsLeading() {
+		return
+	}
+	deferred := c.routed.deferred
+	c.routed.deferred = nil
+	for _, w := range deferred {
+		if c.now > w.until {
+			c.reply(w, &schema.OperatorOutcome{Decline: schema.DeclineKind_DECLINE_NO_LEADER, Message: "another configuration was not settled in time; ask again"})
+			continue
+		}
+		until := w.until
+		c.operate(w)
+		w.until = until
+	}
+}
--- /dev/null
+++ b/internal/gateway/choose.go
@@ -0,0 +1,169 @@
+package gateway
+
+import (
+	"slices"
+	"time"
+
+	"topazshed/internal/constants"
+	"topazshed/internal/image"
+	"topazshed/internal/schema"
+	"topazshed/internal/standing"
+)
+
+// Situation is all that a choice among back ends rests on.
+type Situation struct {
+	Now     time.Duration
+	View    *image.View
+	Self    *schema.Node
+	Loads   *Loads
+	Draw    func(int64) int64
+	Route   *schema.Route
+	Service string
+	Key     uint32
+	HasKey  bool
+	Token   string
+	Tried   []string
+}
+
+// Refusal is why no back end may be tried now.
+type Refusal string
+
+// The refusals of a choice; each says that the request was sent nowhere.
+const (
+	RefusalNone      Refusal = ""
+	RefusalNoService Refusal = "no-service"
+	RefusalNoPlace   Refusal = "no-standing"
+	RefusalNoKey     Refusal = "no-key"
+	RefusalMoving    Refusal = "key-moving"
+	RefusalBusy      Refusal = "busy"
+	RefusalCold      Refusal = "cold"
+	RefusalBudget    Refusal = "retry-budget"
+	RefusalNotReady  Refusal = "not-ready"
+)
+
+// Choice is the back end to try, or why there is none.
+type Choice struct {
+	Backend *schema.Backend
+	Place   standing.Place
+	Refusal Refusal
+}
+
+type candidate struct {
+	backend *schema.Backend
+	place   standing.Place
+	reading Reading
+	cost    float64
+	isCold  bool
+}
+
+func isOpen(view *image.View, backend *schema.Backend) bool {
+	district := view.Districts[backend.District]
+	return district != nil && !district.Emptied && backend.State == schema.BackendState_BACKEND_READY
+}
+
+func isCold(view *image.View, backend *schema.Backend) bool {
+	return backend.Cold || view.Districts[backend.District].GetSettling()
+}
+
+// Choose picks the back end for the next attempt. The owner group of the origin comes first, near before far;
+// what it can't bear goes to the active groups of the other allowed regions.
+func Choose(s Situation) Choice {
+	service := s.View.Services[s.Service]
+	if service == nil || service.Policy == nil || len(service.Backends) == 0 {
+		return Choice{Refusal: RefusalNoService}
+	}
+	places := standing.Places(s.View, s.Service, s.Route.HomeRegions, s.Self.Region, s.Token)
+	if len(places) == 0 {
+		return Choice{Refusal: RefusalNoPlace}
+	}
+	if service.Policy.Keyed {
+		return s.chooseHolder(service, places)
+	}
+	return s.chooseFree(service, places)
+}
+
+func (s Situation) chooseHolder(service *image.Service, places []standing.Place) Choice {
+	if !s.HasKey {
+		return Choice{Refusal: RefusalNoKey}
+	}
+	span := service.Span(s.Key)
+	if span == nil || span.Releasing || slices.Contains(s.Tried, span.Instance) {
+		return Choice{Refusal: RefusalMoving}
+	}
+	backend := service.Backend(span.Instance)
+	if backend == nil || !isOpen(s.View, backend) {
+		return Choice{Refusal: RefusalMoving}
+	}
+	region := s.View.Districts[backend.District].Region
+	at := slices.IndexFunc(places, func(p standing.Place) bool { return p.Region == region })
+	if at < 0 {
+		if len(s.Route.HomeRegions) > 0 && !slices.Contains(s.Route.HomeRegions, region) {
+			return Choice{Refusal: RefusalMoving}
+		}
+		at = 0
+	}
+	if s.Loads.Read(s.Now, backend.Instance).IsResting {
+		return Choice{Refusal: RefusalBusy}
+	}
+	if isCold(s.View, backend) && !s.Loads.MayCold(s.Now, backend.Instance, service.Policy, len(s.View.Nodes)) {
+		return Choice{Refusal: RefusalCold}
+	}
+	return Choice{Backend: backend, Place: places[at]}
+}
+
+func (s Situation) chooseFree(service *image.Service, places []standing.Place) Choice {
+	refusal := RefusalBusy
+	var best *candidate
+	aim := float64(time.Duration(max(s.Route.TargetMs, 100)) * time.Millisecond)
+	var resting []candidate
+	for rank, place := range places {
+		for _, backend := range service.Backends {
+			if !isOpen(s.View, backend) || !place.Holds(backend.District) || slices.Contains(s.Tried, backend.Instance) {
+				continue
+			}
+			c := candidate{backend: backend, place: place, reading: s.Loads.Read(s.Now, backend.Instance), isCold: isCold(s.View, backend)}
+			delay := float64(c.reading.Delay)
+			if delay == 0 {
+				delay = aim * constants.UnknownDelay
+			}
+			slots := float64(max(1, backend.Slots))
+			c.cost = delay * (1 + float64(c.reading.InFlight)/slots)
+			switch {
+			case rank > 0:
+				c.cost += aim * constants.RegionPenalty * float64(rank)
+			case backend.District != s.Self.District:
+				c.cost += aim * constants.DistrictPenalty
+			}
+			c.cost *= 1 + float64(s.Draw(1000))/1000*constants.CostJitter
+			if c.reading.IsResting {
+				resting = append(resting, c)
+				continue
+			}
+			if c.isCold {
+				if len(backend.Sponsors) == 0 || !slices.Contains(backend.Sponsors, s.Self.Id) {
+					refusal = RefusalCold
+					continue
+				}
+				c.cost *= constants.ColdPenalty
+			}
+			if best == nil || c.cost < best.cost {
+				if c.isCold && !s.Loads.MayCold(s.Now, backend.Instance, service.Policy, len(backend.Sponsors)) {
+					refusal = RefusalCold
+					continue
+				}
+				best = &c
+			}
+		}
+	}
+	if best == nil {
+		for i := range resting {
+			if c := &resting[i]; !c.isCold && (best == nil || c.cost < best.cost) {
+				best = c
+			}
+		}
+	}
+	if best == nil {
+		return Choice{Refusal: refusal}
+	}
+	return Choice{Backend: best.backend, Place: best.place}
+}
--- /dev/null
+++ b/internal/gateway/course.go
@@ -0,0 +1,179 @@
+package gateway
+
+import (
+	"time"
+
+	"topazshed/internal/constants"
+	"topazshed/internal/image"
+	"topazshed/internal/schema"
+)
+
+// OrderKind is what the executor must do for a request next.
+type OrderKind int
+
+// The orders of a course.
+const (
+	OrderConnect OrderKind = iota
+	OrderSend
+	OrderPass
+	OrderRefuse
+	OrderFail
+)
+
+// Order is one thing for the executor to do.
+type Order struct {
+	Kind    OrderKind
+	Backend *schema.Backend
+	// Wait bounds the connecting.
+	Wait time.Duration
+	// Refusal and RetryAfter say why and when to come back, for a request that has not run and never will.
+	Refusal    Refusal
+	RetryAfter time.Duration
+	// Status and Reason tell of a request that may have run.
+	Status int
+	Reason string
+}
+
+// EventKind is what has happened to an attempt.
+type EventKind int
+
+// The events that a course takes.
+const (
+	EventBegun EventKind = iota
+	// EventConnected: a connection stands; nothing was written.
+	EventConnected
+	// EventUnreached: no connection came up, or it ended before a byte was written.
+	EventUnreached
+	// EventNotRun: the back end says that it did not run the request.
+	EventNotRun
+	// EventAnswered: a whole answer of this request that may be passed on.
+	EventAnswered
+	// EventErrored: a whole answer that tells of a failure of the back end's own.
+	EventErrored
+	// EventBroken: bytes were written and no whole, trustworthy answer came.
+	EventBroken
+	// EventExpired: the deadline or the route's time-out is over.
+	EventExpired
+)
+
+// Event is what the executor saw.
+type Event struct {
+	Kind   EventKind
+	Reason string
+	// IsOther says that the back end is another one than expected, or does not hold the key.
+	IsOther bool
+}
+
+// CourseOptions make a Course.
+type CourseOptions struct {
+	Self    *schema.Node
+	Loads   *Loads
+	Draw    func(int64) int64
+	Route   *schema.Route
+	Service string
+	Key     uint32
+	HasKey  bool
+	Token   string
+	Begun   time.Duration
+	Until   time.Duration
+	// IsReplayable says that the body can be sent again.
+	IsReplayable bool
+}
+
+// Course is one request's way through a gateway: events in, orders out, without I/O.
+type Course struct {
+	CourseOptions
+	sent     int
+	searches int
+	tried    []string
+	choice   Choice
+	mayRun   bool
+	reason   string
+	Repeats  int
+}
+
+// NewCourse begins a request's course.
+func NewCourse(options CourseOptions) *Course { return &Course{CourseOptions: options} }
+
+// Next takes an event and gives the next order.
+func (c *Course) Next(now time.Duration, view *image.View, e Event) Order {
+	switch e.Kind {
+	case EventConnected:
+		c.sent++
+		return Order{Kind: OrderSend, Backend: c.choice.Backend}
+	case EventAnswered:
+		return Order{Kind: OrderPass}
+	case EventExpired:
+		if !c.mayRun && c.sent == 0 {
+			return c.refuse(RefusalBusy)
+		}
+		return Order{Kind: OrderFail, Status: 504, Reason: "the deadline is over: " + c.reason}
+	case EventUnreached:
+		c.reason = e.Reason
+		c.tried = append(c.tried, c.choice.Backend.Instance)
+	case EventNotRun:
+		c.reason = e.Reason
+		c.tried = append(c.tried, c.choice.Backend.Instance)
+		if c.sent >= c.most() {
+			return c.end(RefusalBusy)
+		}
+	case EventErrored:
+		c.mayRun = true
+		c.tried = append(c.tried, c.choice.Backend.Instance)
+		if !c.Route.Repeatable || !c.IsReplayable || c.sent >= c.most() {
+			return Order{Kind: OrderPass}
+		}
+		if order := c.seek(now, view); order.Kind == OrderConnect {
+			return order
+		}
+		return Order{Kind: OrderPass}
+	case EventBroken:
+		c.mayRun = true
+		c.reason = e.Reason
+		c.tried = append(c.tried, c.choice.Backend.Instance)
+		if !c.Route.Repeatable || !c.IsReplayable || c.sent >= c.most() {
+			return c.end(RefusalBusy)
+		}
+	}
+	return c.seek(now, view)
+}
+
+func (c *Course) most() int { return int(max(1, c.Route.MaxAttempts)) }
+
+func (c *Course) seek(now time.Duration, view *image.View) Order {
+	if now >= c.Until {
+		return c.Next(now, view, Event{Kind: EventExpired})
+	}
+	c.searches++
+	if c.searches > constants.SearchesMost || !c.IsReplayable && c.sent > 0 {
+		return c.end(RefusalBusy)
+	}
+	choice := Choose(Situation{Now: now, View: view, Self: c.Self, Loads: c.Loads, Draw: c.Draw, Route: c.Route, Service: c.Service,
+		Key: c.Key, HasKey: c.HasKey, Token: c.Token, Tried: c.tried})
+	if choice.Backend == nil {
+		return c.end(choice.Refusal)
+	}
+	if c.sent > 0 {
+		if !c.Loads.MayRepeat(now, c.Service, len(view.Nodes)) {
+			return c.end(RefusalBudget)
+		}
+		c.Repeats++
+	}
+	c.choice = choice
+	return Order{Kind: OrderConnect, Backend: choice.Backend, Wait: min(constants.BackendConnect, c.Until-now)}
+}
+
+func (c *Course) end(refusal Refusal) Order {
+	if c.mayRun {
+		return Order{Kind: OrderFail, Status: 502, Reason: c.reason}
+	}
+	return c.refuse(refusal)
+}
+
+func (c *Course) refuse(refusal Refusal) Order {
+	after := constants.RefuseAfter
+	if refusal == RefusalMoving || refusal == RefusalCold || refusal == RefusalNotReady {
+		after = constants.RefuseAfterMove
+	}
+	return Order{Kind: OrderRefuse, Refusal: refusal, RetryAfter: after, Reason: c.reason}
+}
--- /dev/null
+++ b/internal/gateway/state.go
@@ -0,0 +1,269 @@
+package gateway
+
+import (
+	"sync"
+	"time"
+
+	"topazshed/internal/constants"
+	"topazshed/internal/image"
+	"topazshed/internal/schema"
+)
+
+const shards = 16
+
+func shardOf(name string) int { return int(image.Weigh(name) % shards) }
+
+// Bounds are what a deployment lets the whole fleet do.
+type Bounds struct {
+	RetryRatio  float64
+	RetryWindow time.Duration
+	RetrySlack  float64
+	ColdExcess  float64
+	ColdMargin  float64
+}
+
+type instance struct {
+	inFlight int
+	delay    float64
+	at       time.Duration
+	failures int
+	restedTo time.Duration
+	sends    []time.Duration
+}
+
+type window struct {
+	slots [constants.RetrySlots]slot
+}
+
+type slot struct {
+	number          int64
+	firsts, repeats int
+}
+
+type shard struct {
+	lock      sync.Mutex
+	instances map[string]*instance
+	windows   map[string]*window
+	heat      map[string][]uint32
+}
+
+// Loads are the hot tables of a gateway: attempts in flight, delays, cold parts, retry budgets and key heat, sharded with a lock each.
+type Loads struct {
+	shards [shards]shard
+	bounds Bounds
+	since  time.Duration
+}
+
+// NewLoads makes empty tables; since is when this process began, whose former life may have spent its part of the slack.
+func NewLoads(since time.Duration, bounds Bounds) *Loads {
+	l := &Loads{bounds: bounds, since: since}
+	for i := range l.shards {
+		l.shards[i] = shard{instances: map[string]*instance{}, windows: map[string]*window{}, heat: map[string][]uint32{}}
+	}
+	return l
+}
+
+func (l *Loads) in(name string) (*shard, func()) {
+	s := &l.shards[shardOf(name)]
+	s.lock.Lock()
+	return s, s.lock.Unlock
+}
+
+func (s *shard) instance(id string) *instance {
+	i := s.instances[id]
+	if i == nil {
+		i = &instance{}
+		s.instances[id] = i
+	}
+	return i
+}
+
+// Begin counts an attempt at a back end.
+func (l *Loads) Begin(id string) {
+	s, free := l.in(id)
+	defer free()
+	s.instance(id).inFlight++
+}
+
+// End takes an attempt off; a served one teaches the back end's delay.
+func (l *Loads) End(now time.Duration, id string, took time.Duration, isServed bool) {
+	s, free := l.in(id)
+	defer free()
+	i := s.instance(id)
+	i.inFlight = max(0, i.inFlight-1)
+	if !isServed {
+		return
+	}
+	i.failures, i.restedTo = 0, 0
+	weight := constants.DelayWeight
+	if i.delay == 0 {
+		weight = 1
+	}
+	i.delay += weight * (float64(took) - i.delay)
+	i.at = now
+}
+
+// Fail notes that a back end was not reached or broke off; it rests for a time that grows.
+func (l *Loads) Fail(now time.Duration, id string) {
+	s, free := l.in(id)
+	defer free()
+	i := s.instance(id)
+	i.failures++
+	if i.failures >= constants.FailuresToRest {
+		i.restedTo = now + min(constants.RestMost, constants.RestLeast<<min(i.failures-constants.FailuresToRest, 8))
+	}
+}
+
+// Reading is what the choice among back ends sees of one.
+type Reading struct {
+	InFlight  int
+	Delay     time.Duration
+	IsResting bool
+}
+
+// Read gives a back end's reading.
+func (l *Loads) Read(now time.Duration, id string) Reading {
+	s, free := l.in(id)
+	defer free()
+	i := s.instances[id]
+	if i == nil {
+		return Reading{}
+	}
+	return Reading{i.inFlight, time.Duration(i.delay), now < i.restedTo}
+}
+
+// Failing are the back ends that rest now.
+func (l *Loads) Failing(now time.Duration) []string {
+	var ids []string
+	for n := range l.shards {
+		s := &l.shards[n]
+		s.lock.Lock()
+		for id, i := range s.instances {
+			if now < i.restedTo {
+				ids = append(ids, id)
+			}
+		}
+		s.lock.Unlock()
+	}
+	return ids
+}
+
+// ColdBearable is how many requests all nodes together may send in a second to a cold back end.
+func (l *Loads) ColdBearable(policy *schema.ServicePolicy) int {
+	return int(policy.GetColdRate()*l.bounds.ColdExcess+l.bounds.ColdMargin) - constants.ColdSpare
+}
+
+// MayCold counts a request to a cold back end if this node's part, one of so many, allows it.
+func (l *Loads) MayCold(now time.Duration, id string, policy *schema.ServicePolicy, parts int) bool {
+	allowed := l.ColdBearable(policy) / max(1, parts)
+	s, free := l.in(id)
+	defer free()
+	i := s.instance(id)
+	for len(i.sends) > 0 && now-i.sends[0] >= constants.ColdSecond {
+		i.sends = i.sends[1:]
+	}
+	if len(i.sends) >= allowed {
+		return false
+	}
+	i.sends = append(i.sends, now)
+	return true
+}
+
+func (l *Loads) slotOf(now time.Duration) int64 {
+	return int64(now / (l.bounds.RetryWindow / constants.RetryParts))
+}
+
+func (w *window) at(number int64) *slot {
+	s := &w.slots[number%constants.RetrySlots]
+	if s.number != number {
+		*s = slot{number: number}
+	}
+	return s
+}
+
+func (w *window) sum(now int64, parts int64, read func(*slot) int) int {
+	total := 0
+	for n := now - parts + 1; n <= now; n++ {
+		if s := &w.slots[max(n, 0)%constants.RetrySlots]; s.number == n {
+			total += read(s)
+		}
+	}
+	return total
+}
+
+func (s *shard) window(service string) *window {
+	w := s.windows[service]
+	if w == nil {
+		w = &window{}
+		s.windows[service] = w
+	}
+	return w
+}
+
+// First counts a request for a service.
+func (l *Loads) First(now time.Duration, service string) {
+	s, free := l.in(service)
+	defer free()
+	s.window(service).at(l.slotOf(now)).firsts++
+}
+
+// MayRepeat counts one more arrival of a request if this node's part of the fleet's retry budget allows it.
+// Requests are counted in one slot less than the window and repeats in one more, since both arrive later than they are counted.
+func (l *Loads) MayRepeat(now time.Duration, service string, nodes int) bool {
+	s, free := l.in(service)
+	defer free()
+	w := s.window(service)
+	number := l.slotOf(now)
+	firsts := w.sum(number, constants.RetryParts-1, func(s *slot) int { return s.firsts })
+	repeats := w.sum(number, constants.RetryParts+2, func(s *slot) int { return s.repeats })
+	slack := 0
+	if nodes > 0 && now-l.since >= l.bounds.RetryWindow {
+		slack = int(l.bounds.RetrySlack / float64(nodes))
+	}
+	if repeats+1 > int(float64(firsts)*l.bounds.RetryRatio)+slack {
+		return false
+	}
+	w.at(number).repeats++
+	return true
+}
+
+// Heat counts a request on a key.
+func (l *Loads) Heat(service string, key uint32) {
+	s, free := l.in(service)
+	defer free()
+	counts := s.heat[service]
+	if counts == nil {
+		counts = make([]uint32, constants.HeatBuckets)
+		s.heat[service] = counts
+	}
+	counts[key/(constants.Keys/constants.HeatBuckets)%constants.HeatBuckets]++
+}
+
+// TakeHeat gives the counts since it was last asked.
+func (l *Loads) TakeHeat() []*schema.KeyHeat {
+	var heats []*schema.KeyHeat
+	for n := range l.shards {
+		s := &l.shards[n]
+		s.lock.Lock()
+		for service, counts := range s.heat {
+			heats = append(heats, &schema.KeyHeat{Service: service, Counts: counts})
+		}
+		s.heat = map[string][]uint32{}
+		s.lock.Unlock()
+	}
+	return heats
+}
+
+// Keep forgets the back ends that are no longer known.
+func (l *Loads) Keep(isKnown func(id string) bool) {
+	for n := range l.shards {
+		s := &l.shards[n]
+		s.lock.Lock()
+		for id, i := range s.instances {
+			if i.inFlight == 0 && !isKnown(id) {
+				delete(s.instances, id)
+			}
+		}
+		s.lock.Unlock()
+	}
+}
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -40,6 +40,16 @@
 	return Options{constants.JournalFiles, constants.JournalFileBytes, constants.ImageFileBytes}
 }
 
+// Sized are sizes that fit a disk of so many bytes with room to spare; 0 is no bound.
+func Sized(disk int64) Options {
+	options := DefaultOptions()
+	if disk > 0 {
+		options.FileBytes = min(options.FileBytes, disk/constants.JournalDiskParts)
+		options.ImageBytes = min(options.ImageBytes, 2*disk/constants.JournalDiskParts)
+	}
+	return options
+}
+
 // CorruptError says that a record before the tail is bad, so that something accepted may be gone.
 type CorruptError struct {
 	File   string
--- /dev/null
+++ b/internal/keys/heat.go
@@ -0,0 +1,74 @@
+package keys
+
+import "sort"
+
+// heat is a service's load by equal buckets of its keys.
+type heat struct {
+	buckets []float64
+	sums    []float64
+	total   float64
+}
+
+func newHeat(buckets []float64) heat {
+	h := heat{buckets: buckets, sums: make([]float64, len(buckets)+1)}
+	for i, rate := range buckets {
+		h.sums[i+1] = h.sums[i] + rate
+	}
+	h.total = h.sums[len(buckets)]
+	return h
+}
+
+// below is the heat of the keys under one.
+func (h heat) below(key uint32) float64 {
+	count := uint64(len(h.buckets))
+	place := uint64(key) * count
+	i := place / (LastKey + 1)
+	if i >= count {
+		return h.total
+	}
+	return h.sums[i] + h.buckets[i]*float64(place%(LastKey+1))/(LastKey+1)
+}
+
+func (h heat) sum(first, last uint32) float64 {
+	if len(h.buckets) == 0 {
+		return 0
+	}
+	return h.below(last+1) - h.below(first)
+}
+
+// weight is a range's share of heat and keys.
+func (h heat) weight(first, last uint32) float64 {
+	share := float64(last-first+1) / (LastKey + 1)
+	if h.total < HeatLeast {
+		return share
+	}
+	return (1-KeyPart)*h.sum(first, last)/h.total + KeyPart*share
+}
+
+// cut is the last key of the range from first that weighs about as much as told.
+func (h heat) cut(first, most uint32, weight float64) uint32 {
+	return first + uint32(sort.Search(int(most-first), func(i int) bool { return h.weight(first, first+uint32(i)) >= weight }))
+}
+
+// start is the first key of a key's bucket.
+func (h heat) start(key uint32) uint32 {
+	count := uint64(len(h.buckets))
+	i := uint64(key) * count / (LastKey + 1)
+	return uint32((i*(LastKey+1) + count - 1) / count)
+}
+
+// end is the last key of a key's bucket.
+func (h heat) end(key uint32) uint32 {
+	count := uint64(len(h.buckets))
+	i := uint64(key)*count/(LastKey+1) + 1
+	return uint32((i*(LastKey+1)+count-1)/count) - 1
+}
+
+// each visits the parts of a range by buckets.
+func (h heat) each(first, last uint32, visit func(first, last uint32)) {
+	for first <= last {
+		end := min(h.end(first), last)
+		visit(first, end)
+		first = end + 1
+	}
+}
--- /dev/null
+++ b/internal/keys/keys.go
@@ -0,0 +1,398 @@
+// Package keys grants ranges of a service's keys to its back ends; it is a pure state machine of the leader.
+package keys
+
+import (
+	"errors"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"topazshed/internal/image"
+	"topazshed/internal/schema"
+)
+
+const (
+	// LastKey (key) is the greatest key of a service.
+	LastKey = 65535
+	// HoldMost (time) is the longest hold given: three renewals fit into it, and a lost holder's keys are back in 8 s.
+	HoldMost = 6 * time.Second
+	// HoldShare (percent) of the greatest allowed hold is used, so that a shorter allowed one still leaves room.
+	HoldShare = 60
+	// RenewParts (parts) of a hold after one of which it is renewed: two renewals may fail.
+	RenewParts = 3
+	// LeaseTime (time) is how long after a majority's last word calls may be sent: below the shortest election wait of 600 ms.
+	LeaseTime = 500 * time.Millisecond
+	// GrantWait (time) bounds a grant's call: a far link and a busy machine.
+	GrantWait = 600 * time.Millisecond
+	// ReleaseWait (time) bounds a release's call, which waits for running work.
+	ReleaseWait = 5 * time.Second
+	// ArrivalMargin (time) is how long after its caller gave up a call may still arrive: what lies in a slow link.
+	ArrivalMargin = time.Second
+	// HoldMargin (time) is added to every hold for the steps of clocks and of this machine.
+	HoldMargin = 100 * time.Millisecond
+	// ClockSlow (percent) is how much slower a back end's clock may run.
+	ClockSlow = 2
+	// AnswerLost (time) after its wait a call without any word counts as unanswered.
+	AnswerLost = 5 * time.Second
+	// PredecessorMargin (time) after an election the calls of the leader before may still arrive: its lease, a call's wait and its way.
+	PredecessorMargin = LeaseTime + GrantWait + ArrivalMargin
+	// ProposalPause (time) passes before a record is proposed again: several commits.
+	ProposalPause = time.Second
+	// RetryPause (time) passes before a failed call is sent again.
+	RetryPause = 200 * time.Millisecond
+	// LayoutSettle (time) is how long the first list of back ends may become whole before the first layout.
+	LayoutSettle = time.Second
+	// UnreachableAfter (time) without any taken grant a holder is given up: three calls.
+	UnreachableAfter = 2 * time.Second
+	// UnreachableKept (time) is how long a given-up back end gets no keys: longer than a hold, so that it does not get its own back at once.
+	UnreachableKept = 10 * time.Second
+	// LeaveParts (parts) are what a leaving holder's keys are released in, one after the other.
+	LeaveParts = 4
+	// LeaveStep (time) lies between two such parts: all are under way in 0.9 s of the 2.5 s that a draining back end serves.
+	LeaveStep = 300 * time.Millisecond
+	// PiecesMost (spans) are what a freed span is split into at the most.
+	PiecesMost = 8
+	// HeatLeast (requests/s) is the sum below which heat tells nothing.
+	HeatLeast = 10.0
+	// HeatUneven (requests/s) is the least difference from the mean worth a move.
+	HeatUneven = 5.0
+	// HotShare (parts of the mean) is the load above which a back end gives keys away.
+	HotShare = 1.35
+	// IdleShare (parts of the mean) is the load below which a back end is given keys.
+	IdleShare = 0.5
+	// UnevenFor (time) is how long the load must be uneven before keys move: a few reports of heat.
+	UnevenFor = 1500 * time.Millisecond
+	// MovesMost (moves) of a service are under way at once for the sake of load.
+	MovesMost = 2
+	// MovePart (parts of the mean) is the least heat worth a move.
+	MovePart = 0.05
+	// MoveDensity (parts) of the hottest bucket's density a neighbour must have to go with it: lukewarm keys stay, since their share is priced.
+	MoveDensity = 0.5
+	// SpansMost (spans) of a service above which load moves nothing and spans of differing fences are merged.
+	SpansMost = 64
+	// KeyPart (parts) is the weight of a range's share of keys beside that of its heat when freed keys are spread.
+	KeyPart = 0.1
+)
+
+// Options make a Granter.
+type Options struct {
+	// Most is the greatest hold that back ends take; 0 is unknown.
+	Most time.Duration
+}
+
+// Facts are what the leader knows at one instant.
+type Facts struct {
+	Now   time.Duration
+	View  *image.View
+	Table *image.Table
+	// IsLeading tells that this node leads and has applied all records of the leaders before.
+	IsLeading bool
+	ElectedAt time.Duration
+	// LeaseAt is the latest instant at which a majority certainly still followed this leader.
+	LeaseAt time.Duration
+	// Heat is each service's requests a second by equal buckets of keys.
+	Heat map[string][]float64
+	// Dead tells that an instance's process has surely ended.
+	Dead func(instance string) bool
+}
+
+// Kind is what a call does.
+type Kind int
+
+// The kinds of calls.
+const (
+	Grant Kind = iota + 1
+	Release
+)
+
+// Call is to be sent to a back end; Wait counts from the step that gave it, and a call not yet sent by then must not be sent.
+type Call struct {
+	ID       uint64
+	Kind     Kind
+	Service  string
+	Instance string
+	Address  string
+	First    uint32
+	Last     uint32
+	Fence    uint64
+	Hold     time.Duration
+	Handover string
+	Wait     time.Duration
+}
+
+// Outcome is how a call ended.
+type Outcome int
+
+// The outcomes of calls.
+const (
+	// Done tells that the back end took the call.
+	Done Outcome = iota + 1
+	// Refused tells that the back end has seen a higher fence.
+	Refused
+	// Failed tells that the call surely was not taken.
+	Failed
+	// Unknown tells that there was no answer.
+	Unknown
+)
+
+// Answer ends a call; each call must get one.
+type Answer struct {
+	ID       uint64
+	Outcome  Outcome
+	Handover string
+}
+
+// Effects are records to propose and calls to send.
+type Effects struct {
+	Records []*schema.Record
+	Calls   []Call
+}
+
+// LayoutError tells that a service's spans do not cover its keys once.
+type LayoutError struct {
+	Service string
+	Key     uint32
+}
+
+func (e *LayoutError) Error() string {
+	return "spans of service " + e.Service + " leave a gap or overlap; put rows that cover the keys 0 to 65535 once"
+}
+
+// ErrNotKeyed tells that a service has no spans.
+var ErrNotKeyed = errors.New("service has no key spans; mark it keyed in its policy and list a back end")
+
+// Check tells whether a service's spans cover its keys once.
+func Check(service *image.Service) error {
+	if len(service.Spans) == 0 {
+		return ErrNotKeyed
+	}
+	next := uint32(0)
+	for _, span := range service.Spans {
+		if span.First != next || span.Last < span.First || span.Last > LastKey {
+			return &LayoutError{Service: service.Name, Key: next}
+		}
+		next = span.Last + 1
+	}
+	if next != LastKey+1 {
+		return &LayoutError{Service: service.Name, Key: next}
+	}
+	return nil
+}
+
+// identity is a span as it was when a call on it was made.
+type identity struct {
+	first, last uint32
+	instance    string
+	fence       uint64
+}
+
+// exposure is what a back end may hold because of one call.
+type exposure struct {
+	service, instance, address string
+
+	fence  uint64
+	ranges [][2]uint32
+	sent   time.Duration
+	until  time.Duration
+	isOpen bool
+}
+
+type pending struct {
+	call     Call
+	sent     time.Duration
+	exposure *exposure
+}
+
+type progress struct {
+	next      time.Duration
+	isWaiting bool
+	isDone    bool
+	refusals  uint64
+	isBarred  bool
+	handover  string
+	isFreed   bool
+}
+
+type proposal struct {
+	index uint64
+	at    time.Duration
+	width uint32
+}
+
+type departure struct {
+	at    time.Duration
+	width uint32
+}
+
+// memory is what the leader remembers of one service, none of which a successor needs.
+type memory struct {
+	eligibleAt  time.Duration
+	hasEligible bool
+	proposed    map[string]proposal
+	grants      map[identity]*progress
+	releases    map[identity]*progress
+	targets     map[uint32]string
+	failedAt    map[string]time.Duration
+	downAt      map[string]time.Duration
+	shunned     map[string]time.Duration
+	leaving     map[string]departure
+	unevenAt    time.Duration
+	isUneven    bool
+}
+
+// Granter decides which back end holds which keys.
+type Granter struct {
+	hold      time.Duration
+	isLeading bool
+	electedAt time.Duration
+	last      uint64
+	pending   map[uint64]*pending
+	exposures []*exposure
+	services  map[string]*memory
+	// withdrawn are the rows, at an index, whose holder may lose them by a record that is still on its way; they get no more grants.
+	withdrawn map[string]uint64
+	// isHasty is for tests: it skips the wait for holds to lapse.
+	isHasty bool
+}
+
+// New makes a Granter.
+func New(options Options) *Granter {
+	hold := HoldMost
+	if share := options.Most * HoldShare / 100; options.Most > 0 && share < hold {
+		hold = share
+	}
+	g := &Granter{hold: hold, withdrawn: map[string]uint64{}}
+	g.forget()
+	return g
+}
+
+func (g *Granter) forget() {
+	g.isLeading = false
+	g.pending, g.exposures, g.services = map[uint64]*pending{}, nil, map[string]*memory{}
+}
+
+// lapse is how long after a grant's arrival its holder may hold on.
+func lapse(hold time.Duration) time.Duration { return hold*100/(100-ClockSlow) + HoldMargin }
+
+// Step gives what is to be done now.
+func (g *Granter) Step(f Facts) Effects {
+	if f.Dead == nil {
+		f.Dead = func(string) bool { return false }
+	}
+	if !f.IsLeading {
+		g.forget()
+		return Effects{}
+	}
+	if !g.isLeading || f.ElectedAt != g.electedAt {
+		g.forget()
+		g.isLeading, g.electedAt = true, f.ElectedAt
+		g.inherit(f)
+	}
+	for _, id := range slices.Sorted(maps.Keys(g.pending)) {
+		if p := g.pending[id]; f.Now >= p.sent+p.call.Wait+AnswerLost {
+			g.Answered(f.Now, Answer{ID: id, Outcome: Unknown})
+		}
+	}
+	g.exposures = slices.DeleteFunc(g.exposures, func(e *exposure) bool { return !e.isOpen && e.until <= f.Now || len(e.ranges) == 0 })
+	var effects Effects
+	for _, name := range slices.Sorted(maps.Keys(f.View.Services)) {
+		service := f.View.Services[name]
+		if service.Policy == nil || !service.Policy.Keyed {
+			continue
+		}
+		m := g.services[name]
+		if m == nil {
+			m = &memory{proposed: map[string]proposal{}, grants: map[identity]*progress{}, releases: map[identity]*progress{},
+				targets: map[uint32]string{}, failedAt: map[string]time.Duration{}, downAt: map[string]time.Duration{}, shunned: map[string]time.Duration{}, leaving: map[string]departure{}}
+			g.services[name] = m
+		}
+		s := &step{g: g, m: m, f: f, service: service, effects: &effects}
+		s.run()
+	}
+	return effects
+}
+
+// inherit takes every span as held by its instance for as long as the calls of the leader before may have given it.
+func (g *Granter) inherit(f Facts) {
+	until := f.Now + PredecessorMargin + lapse(g.hold)
+	f.Table.Each("s/", func(row *schema.Row) {
+		if !strings.Contains(row.Key, "/span/") {
+			return
+		}
+		if span := image.Decode[schema.KeySpan](row); span != nil {
+			fence := span.Fence
+			if span.Releasing {
+				fence--
+			}
+			g.exposures = append(g.exposures, &exposure{service: span.Service, instance: span.Instance, fence: fence, ranges: [][2]uint32{{span.First, span.Last}}, until: until})
+		}
+	})
+}
+
+// Answered takes the end of a call.
+func (g *Granter) Answered(now time.Duration, a Answer) {
+	p := g.pending[a.ID]
+	if p == nil {
+		return
+	}
+	delete(g.pending, a.ID)
+	m := g.services[p.call.Service]
+	id := identity{p.call.First, p.call.Last, p.call.Instance, p.call.Fence}
+	if p.call.Kind == Release {
+		progress := m.releases[id]
+		progress.isWaiting, progress.next = false, now+RetryPause
+		if a.Outcome == Done {
+			progress.isFreed, progress.handover = true, a.Handover
+			g.released(p.call)
+		}
+		return
+	}
+	progress := m.grants[id]
+	progress.isWaiting = false
+	p.exposure.isOpen = false
+	p.exposure.until = now + lapse(p.call.Hold)
+	switch a.Outcome {
+	case Done:
+		progress.isDone, progress.next = true, p.sent+g.hold/RenewParts
+		progress.refusals = 0
+		delete(m.failedAt, p.call.Instance)
+		delete(m.shunned, p.call.Instance)
+		return
+	case Refused:
+		progress.refusals++
+		progress.isBarred = true
+	case Failed:
+		p.exposure.until = now
+		m.downAt[p.call.Instance] = p.sent
+	default:
+		p.exposure.until += ArrivalMargin
+	}
+	progress.next = now + RetryPause
+	if _, isKnown := m.failedAt[p.call.Instance]; !isKnown && a.Outcome != Refused {
+		m.failedAt[p.call.Instance] = max(p.sent, now-GrantWait)
+	}
+}
+
+// released takes a range off what its holder may hold: it refuses every lower fence from now on.
+func (g *Granter) released(call Call) {
+	for _, e := range g.exposures {
+		if e.service != call.Service || e.instance != call.Instance || e.fence >= call.Fence {
+			continue
+		}
+		var rest [][2]uint32
+		for _, r := range e.ranges {
+			if r[1] < call.First || r[0] > call.Last {
+				rest = append(rest, r)
+				continue
+			}
+			if r[0] < call.First {
+				rest = append(rest, [2]uint32{r[0], call.First - 1})
+			}
+			if r[1] > call.Last {
+				rest = append(rest, [2]uint32{call.Last + 1, r[1]})
+			}
+		}
+		e.ranges = rest
+	}
+}
--- /dev/null
+++ b/internal/keys/step.go
@@ -0,0 +1,526 @@
+package keys
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"topazshed/internal/image"
+	"topazshed/internal/schema"
+)
+
+type row struct {
+	*schema.KeySpan
+	key   string
+	index uint64
+}
+
+func (r row) identity() identity { return identity{r.First, r.Last, r.Instance, r.Fence} }
+func (r row) width() uint32      { return r.Last - r.First + 1 }
+
+// step is one look at one service.
+type step struct {
+	g        *Granter
+	m        *memory
+	f        Facts
+	service  *image.Service
+	effects  *Effects
+	rows     []row
+	eligible []string
+	heat     heat
+	loads    map[string]float64
+}
+
+func (s *step) run() {
+	s.f.Table.Each(image.ServicePrefix(s.service.Name)+"span/", func(r *schema.Row) {
+		if span := image.Decode[schema.KeySpan](r); span != nil {
+			s.rows = append(s.rows, row{span, r.Key, r.Index})
+		}
+	})
+	s.heat = newHeat(s.f.Heat[s.service.Name])
+	s.tidy()
+	s.eligible = s.listEligible()
+	if len(s.rows) == 0 {
+		s.layOut()
+		return
+	}
+	s.loads = map[string]float64{}
+	for _, r := range s.rows {
+		s.loads[s.heir(r)] += s.heat.weight(r.First, r.Last)
+	}
+	for _, r := range s.rows {
+		backend := s.service.Backend(r.Instance)
+		isLost := backend == nil || s.f.Dead(r.Instance)
+		switch {
+		case (isLost || r.Releasing || s.isWithdrawn(r)) && s.hasLapsed(r):
+			s.assign(r)
+		case isLost:
+		case r.Releasing:
+			s.release(r, backend)
+		default:
+			s.grant(r, backend)
+		}
+	}
+	s.leave()
+	s.balance()
+	s.merge()
+}
+
+// tidy drops what is remembered of spans and instances that are no more.
+func (s *step) tidy() {
+	keys, firsts, live := map[string]uint64{}, map[uint32]bool{}, map[identity]bool{}
+	for _, r := range s.rows {
+		keys[r.key] = r.index
+		firsts[r.First] = r.Releasing
+		live[r.identity()] = true
+	}
+	maps.DeleteFunc(s.m.proposed, func(key string, p proposal) bool { return keys[key] != p.index })
+	prefix := image.ServicePrefix(s.service.Name)
+	maps.DeleteFunc(s.g.withdrawn, func(key string, index uint64) bool { return strings.HasPrefix(key, prefix) && keys[key] != index })
+	isOld := func(id identity, p *progress) bool { return !live[id] && !p.isWaiting }
+	maps.DeleteFunc(s.m.grants, isOld)
+	maps.DeleteFunc(s.m.releases, isOld)
+	maps.DeleteFunc(s.m.shunned, func(_ string, until time.Duration) bool { return until <= s.f.Now })
+	maps.DeleteFunc(s.m.failedAt, func(instance string, _ time.Duration) bool { return s.service.Backend(instance) == nil })
+	maps.DeleteFunc(s.m.downAt, func(instance string, _ time.Duration) bool {
+		return s.service.Backend(instance) == nil && !slices.ContainsFunc(s.rows, func(r row) bool { return r.Instance == instance })
+	})
+	for first := range s.m.targets {
+		if isReleasing, isThere := firsts[first]; isThere && !isReleasing && len(s.m.proposed) == 0 {
+			delete(s.m.targets, first)
+		}
+	}
+	for instance, at := range s.m.failedAt {
+		if s.f.Now-at >= UnreachableAfter {
+			s.m.shunned[instance] = s.f.Now + UnreachableKept
+			delete(s.m.failedAt, instance)
+		}
+	}
+}
+
+// isShared tells that another back end is listed at the same address, so that one of both is of the past.
+func (s *step) isShared(backend *schema.Backend) bool {
+	for _, service := range s.f.View.Services {
+		for _, other := range service.Backends {
+			if other.Address == backend.Address && other.Instance != backend.Instance && !s.f.Dead(other.Instance) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// isMoot tells that what a call gave is surely held by nobody: its holder has ended, and no other process at its address took the call.
+func (s *step) isMoot(e *exposure) bool {
+	if !s.f.Dead(e.instance) {
+		return false
+	}
+	if e.address == "" || e.sent < s.m.downAt[e.instance] {
+		return true
+	}
+	return !s.isShared(&schema.Backend{Instance: e.instance, Address: e.address})
+}
+
+func (s *step) listEligible() []string {
+	var warm, cold []string
+	for _, backend := range s.service.Backends {
+		if backend.State != schema.BackendState_BACKEND_READY || backend.Failing || s.f.Dead(backend.Instance) || s.isEmptied(backend) || s.isShared(backend) {
+			continue
+		}
+		if _, isShunned := s.m.shunned[backend.Instance]; isShunned {
+			continue
+		}
+		if backend.Cold {
+			cold = append(cold, backend.Instance)
+		} else {
+			warm = append(warm, backend.Instance)
+		}
+	}
+	if len(warm) == 0 {
+		warm = cold
+	}
+	slices.Sort(warm)
+	return warm
+}
+
+func (s *step) isEmptied(backend *schema.Backend) bool {
+	district := s.f.View.Districts[backend.District]
+	return district != nil && district.Emptied
+}
+
+func (s *step) layOut() {
+	if len(s.eligible) == 0 {
+		s.m.hasEligible = false
+		return
+	}
+	if !s.m.hasEligible {
+		s.m.hasEligible, s.m.eligibleAt = true, s.f.Now
+	}
+	key := image.SpanKey(s.service.Name, 0)
+	if p, isThere := s.m.proposed[key]; s.f.Now-s.m.eligibleAt < LayoutSettle || isThere && s.f.Now-p.at < ProposalPause {
+		return
+	}
+	count := uint32(len(s.eligible))
+	record := &schema.Record{Kind: schema.RecordKind_RECORD_ROWS, Guards: []*schema.Guard{{Key: key}}, Reason: "lay out keys"}
+	for i, instance := range s.eligible {
+		first, last := uint32(i)*(LastKey+1)/count, uint32(i+1)*(LastKey+1)/count-1
+		record.Rows = append(record.Rows, image.Put(image.SpanKey(s.service.Name, first),
+			&schema.KeySpan{Service: s.service.Name, First: first, Last: last, Instance: instance, Fence: 1}))
+	}
+	s.m.proposed[key] = proposal{at: s.f.Now}
+	s.effects.Records = append(s.effects.Records, record)
+}
+
+// heir is the instance that a span's load counts for.
+func (s *step) heir(r row) string {
+	if target, isThere := s.m.targets[r.First]; r.Releasing && isThere {
+		return target
+	}
+	return r.Instance
+}
+
+func (s *step) isBusy(r row) bool {
+	p, isThere := s.m.proposed[r.key]
+	return isThere && p.index == r.index && s.f.Now-p.at < ProposalPause
+}
+
+func (s *step) isWithdrawn(r row) bool {
+	index, isThere := s.g.withdrawn[r.key]
+	return isThere && index == r.index
+}
+
+// hasLapsed tells that nobody can hold any of a span's keys.
+func (s *step) hasLapsed(r row) bool {
+	if s.g.isHasty {
+		return true
+	}
+	for _, e := range s.g.exposures {
+		if e.service != s.service.Name || !e.isOpen && e.until <= s.f.Now || s.isMoot(e) {
+			continue
+		}
+		for _, keys := range e.ranges {
+			if keys[0] <= r.Last && keys[1] >= r.First {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// propose replaces spans by others in one record.
+func (s *step) propose(reason string, width uint32, old []row, fresh []*schema.KeySpan) {
+	record := &schema.Record{Kind: schema.RecordKind_RECORD_ROWS, Reason: reason}
+	had, has := map[string]bool{}, map[string]bool{}
+	for _, r := range old {
+		had[r.key] = true
+		record.Guards = append(record.Guards, &schema.Guard{Key: r.key, Index: r.index})
+		s.m.proposed[r.key] = proposal{index: r.index, at: s.f.Now, width: width}
+		width = 0
+	}
+	for _, span := range fresh {
+		key := image.SpanKey(s.service.Name, span.First)
+		has[key] = true
+		if !had[key] {
+			record.Guards = append(record.Guards, &schema.Guard{Key: key})
+		}
+		record.Rows = append(record.Rows, image.Put(key, span))
+	}
+	for _, r := range old {
+		if !has[r.key] {
+			record.Rows = append(record.Rows, image.Gone(r.key))
+		}
+	}
+	s.effects.Records = append(s.effects.Records, record)
+}
+
+// lightest is the eligible instance with the least load, but for one.
+func (s *step) lightest(except string) string {
+	best := ""
+	for _, instance := range s.eligible {
+		if instance != except && (best == "" || s.loads[instance] < s.loads[best]) {
+			best = instance
+		}
+	}
+	return best
+}
+
+// assign gives a span that nobody holds to others.
+func (s *step) assign(r row) {
+	if len(s.eligible) == 0 || s.isBusy(r) {
+		return
+	}
+	fence, handover := r.Fence, ""
+	if !r.Releasing {
+		fence++
+	}
+	weight := s.heat.weight(r.First, r.Last)
+	s.loads[s.heir(r)] -= weight
+	count := 1
+	if progress := s.m.releases[r.identity()]; progress != nil && progress.isFreed && r.Releasing {
+		handover = progress.handover
+	} else {
+		count = min(1+int(weight*float64(len(s.eligible))*LeaveParts), len(s.eligible), PiecesMost, int(r.width()))
+	}
+	var spans []*schema.KeySpan
+	for first, i := r.First, count; i > 0; i-- {
+		last := r.Last
+		if i > 1 {
+			last = s.heat.cut(first, r.Last-uint32(i-1), s.heat.weight(first, r.Last)/float64(i))
+		}
+		target := s.m.targets[r.First]
+		if count > 1 || !slices.Contains(s.eligible, target) {
+			target = s.lightest("")
+		}
+		s.loads[target] += s.heat.weight(first, last)
+		spans = append(spans, &schema.KeySpan{Service: s.service.Name, First: first, Last: last, Instance: target, Fence: fence, Handover: handover})
+		first = last + 1
+	}
+	s.g.withdrawn[r.key] = r.index
+	s.propose("assign keys", 0, []row{r}, spans)
+}
+
+func (s *step) send(call Call, e *exposure) {
+	s.g.last++
+	call.ID, call.Service = s.g.last, s.service.Name
+	s.g.pending[call.ID] = &pending{call: call, sent: s.f.Now, exposure: e}
+	s.effects.Calls = append(s.effects.Calls, call)
+}
+
+func (s *step) hasLease() bool { return s.f.Now-s.f.LeaseAt < LeaseTime }
+
+func (s *step) grant(r row, backend *schema.Backend) {
+	id := r.identity()
+	p := s.m.grants[id]
+	if p == nil {
+		p = &progress{}
+		s.m.grants[id] = p
+	}
+	if p.isBarred && !p.isWaiting && !s.isBusy(r) && !s.isWithdrawn(r) {
+		span := &schema.KeySpan{Service: s.service.Name, First: r.First, Last: r.Last, Instance: r.Instance, Fence: r.Fence + p.refusals, Handover: r.Handover}
+		s.propose("raise the fence", 0, []row{r}, []*schema.KeySpan{span})
+		return
+	}
+	if p.isWaiting || s.f.Now < p.next || !s.hasLease() || s.isWithdrawn(r) || s.isShared(backend) {
+		return
+	}
+	p.isWaiting = true
+	e := &exposure{service: s.service.Name, instance: r.Instance, address: backend.Address, fence: r.Fence, ranges: [][2]uint32{{r.First, r.Last}}, sent: s.f.Now, isOpen: true}
+	s.g.exposures = append(s.g.exposures, e)
+	s.send(Call{Kind: Grant, Instance: r.Instance, Address: backend.Address, First: r.First, Last: r.Last, Fence: r.Fence, Hold: s.g.hold, Handover: r.Handover, Wait: GrantWait}, e)
+}
+
+func (s *step) release(r row, backend *schema.Backend) {
+	id := r.identity()
+	p := s.m.releases[id]
+	if p == nil {
+		p = &progress{}
+		s.m.releases[id] = p
+	}
+	if p.isWaiting || p.isFreed || s.f.Now < p.next || !s.hasLease() || s.isShared(backend) {
+		return
+	}
+	p.isWaiting = true
+	s.send(Call{Kind: Release, Instance: r.Instance, Address: backend.Address, First: r.First, Last: r.Last, Fence: r.Fence, Wait: ReleaseWait}, nil)
+}
+
+// free proposes to take a part of a span off its holder.
+func (s *step) free(r row, first, last uint32, target, reason string) {
+	part := func(first, last uint32) *schema.KeySpan {
+		span := &schema.KeySpan{Service: s.service.Name, First: first, Last: last, Instance: r.Instance, Fence: r.Fence}
+		if p := s.m.grants[r.identity()]; p == nil || !p.isDone {
+			span.Handover = r.Handover
+		}
+		return span
+	}
+	var spans []*schema.KeySpan
+	if first > r.First {
+		spans = append(spans, part(r.First, first-1))
+	}
+	freed := part(first, last)
+	freed.Releasing, freed.Fence, freed.Handover = true, r.Fence+1, ""
+	spans = append(spans, freed)
+	if last < r.Last {
+		spans = append(spans, part(last+1, r.Last))
+	}
+	weight := s.heat.weight(first, last)
+	s.loads[r.Instance] -= weight
+	s.loads[target] += weight
+	s.m.targets[first] = target
+	s.propose(reason, last-first+1, []row{r}, spans)
+}
+
+// mustLeave tells whether a holder is to lose all its keys, and whether a part at a time.
+func (s *step) mustLeave(backend *schema.Backend) (bool, bool) {
+	_, isShunned := s.m.shunned[backend.Instance]
+	return isShunned || backend.State == schema.BackendState_BACKEND_DRAINING || s.isEmptied(backend), !isShunned
+}
+
+func (s *step) leave() {
+	leaving := map[string]bool{}
+	for _, backend := range s.service.Backends {
+		mustLeave, isGentle := s.mustLeave(backend)
+		if !mustLeave || s.lightest(backend.Instance) == "" || s.f.Dead(backend.Instance) {
+			continue
+		}
+		left, moved := uint32(0), uint32(0)
+		for _, r := range s.rows {
+			if r.Instance == backend.Instance && !r.Releasing {
+				left += r.width()
+				if s.isBusy(r) {
+					moved += s.m.proposed[r.key].width
+				}
+			}
+		}
+		if left == 0 {
+			continue
+		}
+		leaving[backend.Instance] = true
+		start, isKnown := s.m.leaving[backend.Instance]
+		if !isKnown || left > start.width {
+			start = departure{s.f.Now, left}
+			s.m.leaving[backend.Instance] = start
+		}
+		due := start.width
+		if steps := uint32((s.f.Now-start.at)/LeaveStep) + 1; isGentle && steps < LeaveParts {
+			due = (start.width*steps + LeaveParts - 1) / LeaveParts
+		}
+		moved += start.width - left
+		for _, r := range s.rows {
+			if due <= moved {
+				break
+			}
+			if r.Instance != backend.Instance || r.Releasing || s.isBusy(r) || s.isWithdrawn(r) {
+				continue
+			}
+			width := min(due-moved, r.width())
+			s.free(r, r.First, r.First+width-1, s.lightest(backend.Instance), "take keys off a leaving back end")
+			moved += width
+		}
+	}
+	maps.DeleteFunc(s.m.leaving, func(instance string, _ departure) bool { return !leaving[instance] })
+}
+
+func (s *step) isSettled(r row) bool {
+	p := s.m.grants[r.identity()]
+	return !r.Releasing && p != nil && p.isDone && !p.isBarred && !s.isBusy(r) && !s.isWithdrawn(r)
+}
+
+// balance moves the hottest small ranges from the most to the least loaded back end.
+func (s *step) balance() {
+	moves := 0
+	loads := map[string]float64{}
+	for _, r := range s.rows {
+		loads[s.heir(r)] += s.heat.sum(r.First, r.Last)
+		if r.Releasing || s.isBusy(r) {
+			moves++
+		}
+	}
+	if s.heat.total < HeatLeast || len(s.eligible) < 2 || len(s.rows) > SpansMost {
+		s.m.isUneven = false
+		return
+	}
+	mean := s.heat.total / float64(len(s.eligible))
+	byLoad := func(a, b string) int { return cmp.Or(cmp.Compare(loads[a], loads[b]), cmp.Compare(a, b)) }
+	ends := func() (string, string, bool) {
+		least, most := slices.MinFunc(s.eligible, byLoad), slices.MaxFunc(s.eligible, byLoad)
+		isHot := loads[most] > HotShare*mean && loads[most]-mean >= HeatUneven
+		isIdle := loads[least] < IdleShare*mean && mean-loads[least] >= HeatUneven
+		return least, most, isHot || isIdle
+	}
+	_, _, isUneven := ends()
+	if !isUneven || !s.m.isUneven {
+		s.m.isUneven, s.m.unevenAt = isUneven, s.f.Now
+		return
+	}
+	if s.f.Now-s.m.unevenAt < UnevenFor {
+		return
+	}
+	for ; moves < MovesMost; moves++ {
+		least, most, isStill := ends()
+		if !isStill {
+			return
+		}
+		amount := min((loads[most]-loads[least])/2, mean-loads[least])
+		r, first, last, isFound := s.hottest(most, amount, mean)
+		if !isFound {
+			return
+		}
+		moved := s.heat.sum(first, last)
+		loads[most] -= moved
+		loads[least] += moved
+		s.free(r, first, last, least, "move hot keys")
+		s.m.unevenAt = s.f.Now
+	}
+}
+
+// hottest finds the densest range of an instance that carries no more than an amount of heat; while that one is under way nothing cooler moves.
+func (s *step) hottest(instance string, amount, mean float64) (row, uint32, uint32, bool) {
+	type seed struct {
+		r           row
+		first, last uint32
+		density     float64
+	}
+	var seeds []seed
+	for _, r := range s.rows {
+		if r.Instance != instance {
+			continue
+		}
+		s.heat.each(r.First, r.Last, func(first, last uint32) {
+			seeds = append(seeds, seed{r, first, last, s.heat.sum(first, last) / float64(last-first+1)})
+		})
+	}
+	slices.SortStableFunc(seeds, func(a, b seed) int { return cmp.Compare(b.density, a.density) })
+	for _, hot := range seeds {
+		first, last := hot.first, hot.last
+		for s.heat.sum(first, last) > amount && last > first {
+			last = first + (last-first)/2
+		}
+		if s.heat.sum(first, last) > amount {
+			continue
+		}
+		if !s.isSettled(hot.r) {
+			return row{}, 0, 0, false
+		}
+		isFitting := func(a, b uint32) bool {
+			part := s.heat.sum(a, b)
+			return part >= MoveDensity*hot.density*float64(b-a+1) && s.heat.sum(first, last)+part <= amount
+		}
+		if last == hot.last {
+			for first > hot.r.First {
+				next := max(s.heat.start(first-1), hot.r.First)
+				if !isFitting(next, first-1) {
+					break
+				}
+				first = next
+			}
+			for last < hot.r.Last {
+				next := min(s.heat.end(last+1), hot.r.Last)
+				if !isFitting(last+1, next) {
+					break
+				}
+				last = next
+			}
+		}
+		if s.heat.sum(first, last) >= max(1, MovePart*mean) {
+			return hot.r, first, last, true
+		}
+	}
+	return row{}, 0, 0, false
+}
+
+// merge joins neighbours of one holder.
+func (s *step) merge() {
+	for i := 1; i < len(s.rows); i++ {
+		a, b := s.rows[i-1], s.rows[i]
+		if a.Instance != b.Instance || a.Last+1 != b.First || a.Fence != b.Fence && len(s.rows) <= SpansMost || !s.isSettled(a) || !s.isSettled(b) {
+			continue
+		}
+		if _, isLeaving := s.m.leaving[a.Instance]; isLeaving {
+			continue
+		}
+		s.propose("merge spans", 0, []row{a, b}, []*schema.KeySpan{{Service: s.service.Name, First: a.First, Last: b.Last, Instance: a.Instance, Fence: max(a.Fence, b.Fence)}})
+		return
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -27,6 +27,7 @@
 	"topazshed/internal/core"
 	"topazshed/internal/directory"
 	"topazshed/internal/frame"
+	"topazshed/internal/gateway"
 	"topazshed/internal/image"
 	"topazshed/internal/journal"
 	"topazshed/internal/kernel"
@@ -64,6 +65,9 @@
 	stopping atomic.Bool
 	servers  []*http.Server
 	fatal    chan error
+	seam     *Seam
+	gateway  *gateway.Gateway
+	refused  map[string]time.Duration
 }
 
 func draw(n int64) int64 {
@@ -95,7 +99,12 @@
 
 // Start brings a process up; open gives its data folder.
 func Start(s *settings.Settings, log *slog.Logger, open func(path string) (Folder, error)) (*Node, error) {
-	n := &Node{Kernel: kernel.New(), settings: s, log: log, open: open, begun: time.Now(), commands: make(chan func(), 4096), fatal: make(chan error, 1)}
+	return StartRouted(s, log, open, nil)
+}
+
+// StartRouted brings up a process of a fleet that carries routes and speaks as the seam says; without a seam it carries entries.
+func StartRouted(s *settings.Settings, log *slog.Logger, open func(path string) (Folder, error), seam *Seam) (*Node, error) {
+	n := &Node{seam: seam, refused: map[string]time.Duration{}, Kernel: kernel.New(), settings: s, log: log, open: open, begun: time.Now(), commands: make(chan func(), 4096), fatal: make(chan error, 1)}
 	n.context, n.cancel = context.WithCancel(context.Background())
 	n.local.Store(&core.Local{View: image.NewView()})
 	n.disk.Store(&control.Disk{Folder: s.Data})
@@ -112,7 +121,10 @@
 func (n *Node) start() error {
 	n.self = &schema.Node{Id: newID(), Address: n.settings.PeerShown, Proxy: n.settings.ProxyShow, Door: n.settings.DoorShown, District: n.settings.District,
 		Region: n.settings.Region, Disk: n.settings.Data != "", Incarnation: uint64(time.Now().UnixMilli()), State: schema.NodeState_NODE_READY}
-	options := core.Options{Self: n.self, Seeds: n.settings.Seeds, Draw: draw, Log: n.log.With("part", "core")}
+	options := core.Options{Self: n.self, Seeds: n.settings.Seeds, Draw: draw, Log: n.log.With("part", "core"), Rejoin: n.settings.Rejoin}
+	if n.seam != nil {
+		options.Routed = n.routed()
+	}
 	if n.self.Disk {
 		state, err := n.openJournal()
 		if err != nil {
@@ -125,8 +137,11 @@
 		}
 	}
 	n.log = n.log.With("node", n.self.Id)
-	n.keeper = claim.NewKeeper(n.self.Id, options.Restart)
 	n.core = core.New(n.Now(), options)
+	if n.seam != nil {
+		return n.startRouted()
+	}
+	n.keeper = claim.NewKeeper(n.self.Id, options.Restart)
 	n.pool = proxy.NewPool(n.settings.Proxy)
 	n.Push("pool", n.pool.Close)
 	n.loads = proxy.NewLoads(n.Now)
@@ -141,18 +156,9 @@
 			return err
 		}
 	}
-	network, err := frame.Open(frame.Options{Listen: n.settings.Peer, Handle: n.handle, Log: n.log.With("part", "frame")})
-	if err != nil {
+	if err := n.openNetwork(); err != nil {
 		return err
 	}
-	n.net = network
-	n.tasks.Go(n.own)
-	n.Push("owner", func() error {
-		n.cancel()
-		err := network.Close()
-		n.tasks.Wait()
-		return err
-	})
 	for name, address := range map[string]string{"proxy": n.settings.Proxy, "door": n.settings.Door} {
 		handler, err := kernel.Find[http.Handler](n.Kernel, name)
 		if err != nil {
@@ -171,20 +177,37 @@
 	return nil
 }
 
+func (n *Node) openNetwork() error {
+	network, err := frame.Open(frame.Options{Listen: n.settings.Peer, Handle: n.handle, Log: n.log.With("part", "frame")})
+	if err != nil {
+		return err
+	}
+	n.net = network
+	n.tasks.Go(n.own)
+	n.Push("owner", func() error {
+		n.cancel()
+		err := network.Close()
+		n.tasks.Wait()
+		return err
+	})
+	return nil
+}
+
 func (n *Node) openJournal() (*journal.State, error) {
 	folder, err := n.open(n.settings.Data)
 	if err != nil {
 		return nil, err
 	}
 	n.Push("data folder", folder.Close)
-	j, state, err := journal.Open(folder, journal.DefaultOptions())
+	sizes := journal.Sized(n.settings.DiskBytes)
+	j, state, err := journal.Open(folder, sizes)
 	var corrupt *journal.CorruptError
 	if errors.As(err, &corrupt) {
 		n.log.Error("journal is corrupt; rejoining empty under a new identity", "reason", err.Error())
 		if err := folder.Wipe(); err != nil {
 			return nil, fmt.Errorf("wipe data folder: %w", err)
 		}
-		j, state, err = journal.Open(folder, journal.DefaultOptions())
+		j, state, err = journal.Open(folder, sizes)
 	}
 	if err != nil {
 		return nil, err
@@ -281,7 +304,7 @@
 }
 
 func (n *Node) driver() *core.Driver {
-	return &core.Driver{Core: n.core, Journal: n.journal, Now: n.Now, Send: n.net.Send, Publish: n.publish, Synced: n.synced, Write: n.write, Answer: func(o core.Outcome) {
+	return &core.Driver{Core: n.core, Journal: n.journal, Now: n.Now, Send: n.net.Send, Publish: n.publish, Synced: n.synced, Write: n.write, Granted: n.grant, Answer: func(o core.Outcome) {
 		if answer, isThere := n.operates.LoadAndDelete(o.Ticket); isThere {
 			answer.(chan *schema.OperatorOutcome) <- o.Outcome
 		}
@@ -312,6 +335,9 @@
 	local := n.core.Local()
 	was := n.local.Load()
 	n.local.Store(local)
+	if n.seam != nil {
+		return
+	}
 	if was.View != local.View {
 		for name, service := range local.View.Services {
 			if was.View.Services[name] == service {
@@ -340,6 +366,12 @@
 		return
 	}
 	local := n.local.Load()
+	if n.seam != nil {
+		if f.Body != nil {
+			n.do(func() { n.core.Receive(n.Now(), f) })
+		}
+		return
+	}
 	switch body := f.Body.(type) {
 	case *schema.Frame_Claim:
 		if local.System != "" && f.System == local.System {
@@ -559,6 +591,9 @@
 	case <-ctx.Done():
 	}
 	n.stopping.Store(true)
+	if n.seam != nil {
+		return n.stopRouted()
+	}
 	n.log.Info("stopping; queries in flight are finished first")
 	n.do(func() { n.core.Stop(n.Now()) })
 	linger := time.NewTimer(constants.StopLinger)
--- /dev/null
+++ b/internal/node/routed.go
@@ -0,0 +1,194 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"sync"
+	"syscall"
+	"time"
+
+	"topazshed/internal/constants"
+	"topazshed/internal/core"
+	"topazshed/internal/gateway"
+	"topazshed/internal/keys"
+	"topazshed/internal/roster"
+	"topazshed/internal/schema"
+)
+
+// Bounds are a deployment's figures that a routed fleet must keep.
+type Bounds struct {
+	gateway.Bounds
+	HoldMost    time.Duration
+	ListLag     time.Duration
+	StopGrace   time.Duration
+	ResolveMost time.Duration
+}
+
+// Seam is how the outside of a routed fleet is spoken to: names, formats and calls; it decides nothing.
+type Seam struct {
+	Names  gateway.Names
+	Bounds Bounds
+	// List reads the platform's whole list once.
+	List func(ctx context.Context) ([]roster.Listed, error)
+	// Grant carries out one call to a back end; the error tells why there was no answer.
+	Grant func(ctx context.Context, call keys.Call) (keys.Answer, error)
+	// Serve gives the handlers of a node by the addresses that they listen on.
+	Serve func(*Outside) map[string]http.Handler
+}
+
+// Outside is what a node offers to those who speak to it through a seam.
+type Outside struct {
+	// Requests takes callers' requests.
+	Requests http.Handler
+	// Operate carries an operator's query to the leader.
+	Operate func(ctx context.Context, query *schema.OperatorQuery) (*schema.OperatorOutcome, error)
+	// Resolve gives the addresses of nodes for a caller and how long they may be used; none if this node does not know.
+	Resolve func(region, district string) ([]string, time.Duration)
+	// IsReady tells whether this node may get requests.
+	IsReady func() bool
+}
+
+func (n *Node) routed() *core.Routed {
+	bounds := n.seam.Bounds
+	reckon := gateway.NewLoads(n.Now(), bounds.Bounds)
+	return &core.Routed{HoldMost: bounds.HoldMost, ListLag: bounds.ListLag, ColdBearable: reckon.ColdBearable,
+		Heat: func() []*schema.KeyHeat { return n.gateway.Loads().TakeHeat() }}
+}
+
+func (n *Node) startRouted() error {
+	n.gateway = gateway.New(gateway.Options{Self: n.self, Now: n.Now, Local: n.local.Load, Draw: rand.Int64N, Names: n.seam.Names, Bounds: n.seam.Bounds.Bounds,
+		Listen: n.settings.Proxy, Log: n.log.With("part", "gateway")})
+	n.Push("gateway", n.gateway.Close)
+	for name, service := range map[string]any{"core": n.core, "gateway": n.gateway} {
+		if err := n.Register(name, service); err != nil {
+			return err
+		}
+	}
+	if err := n.openNetwork(); err != nil {
+		return err
+	}
+	outside := &Outside{Requests: n.gateway, Operate: n.operate, Resolve: n.resolve, IsReady: n.isReady}
+	for address, handler := range n.seam.Serve(outside) {
+		if err := n.serve("door", address, handler); err != nil {
+			return err
+		}
+	}
+	n.tasks.Go(n.tend)
+	if n.seam.List != nil {
+		n.tasks.Go(n.readList)
+	}
+	n.log.Info("started", "peer", n.settings.Peer, "proxy", n.settings.Proxy, "door", n.settings.Door, "district", n.settings.District, "region", n.settings.Region, "disk", n.self.Disk)
+	return nil
+}
+
+func (n *Node) isReady() bool { return !n.stopping.Load() && gateway.IsFit(n.local.Load()) }
+
+func (n *Node) resolve(region, district string) ([]string, time.Duration) {
+	view := n.local.Load().View
+	var own, near, far []string
+	for _, node := range view.Nodes {
+		switch {
+		case node.State != schema.NodeState_NODE_READY:
+		case node.District == district:
+			own = append(own, node.Proxy)
+		case node.Region == region:
+			near = append(near, node.Proxy)
+		default:
+			far = append(far, node.Proxy)
+		}
+	}
+	if len(own) < constants.ResolveLeast {
+		own = append(own, near...)
+	}
+	if len(own) == 0 {
+		own = far
+	}
+	slices.Sort(own)
+	return own[:min(len(own), constants.ResolveMost)], min(constants.ResolveLife, n.seam.Bounds.ResolveMost)
+}
+
+func (n *Node) tend() {
+	ticker := time.NewTicker(constants.TendEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-n.context.Done():
+			return
+		case <-ticker.C:
+			n.gateway.Tend(n.local.Load().View)
+		}
+	}
+}
+
+func (n *Node) readList() {
+	pause := constants.ListEvery
+	for {
+		select {
+		case <-n.context.Done():
+			return
+		case <-time.After(pause):
+		}
+		if n.local.Load().Role != "leader" {
+			continue
+		}
+		listing := roster.Listing{BegunAt: n.Now(), IsWhole: true}
+		items, err := n.seam.List(n.context)
+		if err != nil {
+			listing.IsWhole, listing.Reason = false, err.Error()
+		}
+		listing.Items = items
+		n.do(func() { n.core.SetListing(n.Now(), listing) })
+	}
+}
+
+func (n *Node) grant(call keys.Call) {
+	n.tasks.Go(func() {
+		ctx, cancel := context.WithTimeout(n.context, call.Wait)
+		defer cancel()
+		answer, err := n.seam.Grant(ctx, call)
+		n.do(func() {
+			now := n.Now()
+			if errors.Is(err, syscall.ECONNREFUSED) {
+				if at, isNoted := n.refused[call.Instance]; !isNoted {
+					n.refused[call.Instance] = now
+				} else if now-at >= constants.RefusedApart {
+					n.core.SetDead(call.Instance)
+				}
+			} else {
+				delete(n.refused, call.Instance)
+			}
+			n.core.Granted(now, answer)
+		})
+	})
+}
+
+func (n *Node) stopRouted() error {
+	n.log.Info("stopping; requests in flight are finished first")
+	n.do(func() { n.core.Stop(n.Now()) })
+	n.gateway.Stop()
+	grace := time.Duration(float64(n.seam.Bounds.StopGrace) * constants.DrainShare)
+	linger := time.NewTimer(grace / 2)
+	defer linger.Stop()
+	select {
+	case <-linger.C:
+	case err := <-n.fatal:
+		return errors.Join(err, n.Close())
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), grace/2)
+	defer cancel()
+	var group sync.WaitGroup
+	for _, server := range n.servers {
+		group.Go(func() {
+			if err := server.Shutdown(ctx); err != nil {
+				n.log.Warn("requests were still in flight at the end", "reason", err.Error())
+			}
+		})
+	}
+	group.Wait()
+	err := n.Close()
+	n.log.Info("stopped")
+	return err
+}
--- a/internal/proxy/budget.go
+++ b/internal/proxy/budget.go
@@ -20,8 +20,14 @@
 	return int(sum % shards)
 }
 
+type peak struct {
+	at    time.Duration
+	level int
+}
+
 type window struct {
-	firsts, repeats []time.Duration
+	level int
+	peaks []peak
 }
 
 type ramp struct {
@@ -166,12 +172,16 @@
 }
 
 func (w *window) trim(now time.Duration) {
-	for len(w.firsts) > 0 && now-w.firsts[0] >= constants.RepeatWindow-constants.RepeatMargin {
-		w.firsts = w.firsts[1:]
+	for len(w.peaks) > 0 && now-w.peaks[0].at >= constants.RepeatWindow+constants.RepeatMargin {
+		w.peaks = w.peaks[1:]
 	}
-	for len(w.repeats) > 0 && now-w.repeats[0] >= constants.RepeatWindow+constants.RepeatMargin {
-		w.repeats = w.repeats[1:]
+}
+
+func (w *window) mark(at time.Duration) {
+	for len(w.peaks) > 0 && w.peaks[len(w.peaks)-1].level <= w.level {
+		w.peaks = w.peaks[:len(w.peaks)-1]
 	}
+	w.peaks = append(w.peaks, peak{at, w.level})
 }
 
 // First counts a first leg of a service.
@@ -183,8 +193,10 @@
 		w = &window{}
 		s.windows[service] = w
 	}
-	w.trim(now)
-	w.firsts = append(w.firsts, now)
+	w.level += constants.RepeatShare
+	if i := len(w.peaks) - 1; i >= 0 && now-w.peaks[i].at < constants.RepeatMargin && w.peaks[i].level < w.level {
+		w.mark(w.peaks[i].at)
+	}
 }
 
 // Share is this proxy's whole part of a number that all proxies of a part have together.
@@ -198,6 +210,8 @@
 }
 
 // Repeat tells whether one more leg fits the repeat budget, and counts it; the allowance is shared out in whole legs.
+// It is a token bucket: a repeat takes a token, a first leg gives a fifth of one back, and the level stays within the share of the highest
+// in the window. First legs before a repeat leave the window before it, so they don't pay for it.
 func (l *Loads) Repeat(now time.Duration, service string, part Part) bool {
 	s, free := l.in(service)
 	defer free()
@@ -206,10 +220,15 @@
 		return false
 	}
 	w.trim(now)
-	if len(w.repeats)+1 > len(w.firsts)*constants.RepeatShare/100+part.Share(constants.RepeatAllowance) {
+	highest := w.level
+	if len(w.peaks) > 0 {
+		highest = max(highest, w.peaks[0].level)
+	}
+	if highest-w.level+100 > part.Share(constants.RepeatAllowance)*100 {
 		return false
 	}
-	w.repeats = append(w.repeats, now)
+	w.mark(now)
+	w.level -= 100
 	return true
 }
 
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"math"
+	"math/rand"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -184,6 +186,76 @@
 
 func at(rank, of int) func() Part { return func() Part { return Part{rank, of} } }
 
+func TestRepeatsFitEveryWindow(t *testing.T) {
+	type leg struct {
+		at      time.Duration
+		isFirst bool
+	}
+	for _, c := range []struct {
+		name    string
+		of, gap int
+		first   func(second float64) float64
+		fails   func(second float64) bool
+	}{
+		{"a surge of first legs, then repeats with few first legs", 4, 1, func(s float64) float64 { return 1 + 49*math.Max(0, 1-s/5) }, func(s float64) bool { return s > 4 }},
+		{"the first legs of two proxies end", 4, 3, func(s float64) float64 { return 30 }, func(s float64) bool { return s > 8 }},
+		{"waves", 4, 1, func(s float64) float64 { return 25 + 24*math.Sin(s*2) }, func(s float64) bool { return math.Cos(s) > 0 }},
+		{"more proxies than the allowance has legs", 15, 1, func(s float64) float64 { return 25 + 24*math.Sin(s/2) }, func(s float64) bool { return math.Cos(s) > 0 }},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			random := rand.New(rand.NewSource(1))
+			var legs []leg
+			proxies := make([]*Loads, c.of)
+			for i := range proxies {
+				proxies[i] = NewLoads(func() time.Duration { return noon })
+			}
+			repeats := 0
+			for now := noon; now < noon+40*time.Second; now += 10 * time.Millisecond {
+				second := (now - noon).Seconds()
+				for rank, l := range proxies {
+					if rank%c.gap != 0 && second > 10 || random.Float64()*100 > c.first(second) {
+						continue
+					}
+					l.First(now, "s")
+					legs = append(legs, leg{now, true})
+					if c.fails(second) && l.Repeat(now, "s", Part{rank, c.of}) {
+						legs = append(legs, leg{now, false})
+						repeats++
+					}
+				}
+			}
+			for i, last := range legs {
+				over := 0
+				for j := i; j >= 0 && last.at-legs[j].at <= constants.RepeatWindow; j-- {
+					if over += 100; legs[j].isFirst {
+						over -= 100 + constants.RepeatShare
+					}
+				}
+				if over > constants.RepeatAllowance*100 {
+					t.Fatalf("in the window before %v are %d hundredths of a repeat above a fifth of the first legs", last.at-noon, over)
+				}
+			}
+			if repeats < constants.RepeatAllowance {
+				t.Errorf("only %d repeats in all", repeats)
+			}
+		})
+	}
+}
+
+func TestSteadyFirstLegsPayForAFifthOfRepeats(t *testing.T) {
+	l := NewLoads(func() time.Duration { return noon })
+	firsts, repeats := 0, 0
+	for now := noon; now < noon+60*time.Second; now += 20 * time.Millisecond {
+		l.First(now, "s")
+		if firsts++; l.Repeat(now, "s", Part{0, 4}) {
+			repeats++
+		}
+	}
+	if repeats < firsts*(constants.RepeatShare-1)/100 {
+		t.Errorf("%d repeats beside %d first legs", repeats, firsts)
+	}
+}
+
 func TestBudgets(t *testing.T) {
 	l := NewLoads(func() time.Duration { return noon })
 	for i := range 100 {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -26,6 +26,10 @@
 	Data      string   `json:"data"`
 	Platform  string   `json:"platform"`
 	LogLevel  string   `json:"log_level"`
+	// DiskBytes bounds the data folder; 0 is no bound.
+	DiskBytes int64 `json:"disk_bytes"`
+	// Rejoin says that the system was founded before: a machine without state joins it and never founds another.
+	Rejoin bool `json:"rejoin"`
 }
 
 // Fault is one thing wrong with the settings and how to mend it.
--- a/internal/sim/sim_test.go
+++ b/internal/sim/sim_test.go
@@ -103,6 +103,19 @@
 	}
 }
 
+func TestRepeatsFitTheirWindowWhenFirstLegsEnd(t *testing.T) {
+	for _, seed := range []int64{903, 3000} {
+		f, err := Play(*Find("bad-outcomes"), seed, "")
+		if err != nil {
+			t.Fatal(err)
+		}
+		verify(t, f)
+		if f.Counts["repeats"] == 0 {
+			t.Errorf("seed %d: no leg was repeated", seed)
+		}
+	}
+}
+
 func TestManyNodesAreServedSoon(t *testing.T) {
 	for seed := int64(1); seed <= 3; seed++ {
 		f := begin(t, Options{Seed: seed, Regions: 3, Districts: 2, PerDistrict: 8, Services: 60, Backends: 3})
