--- a/internal/keys/keys.go
+++ b/internal/keys/keys.go
@@ -49,8 +49,8 @@
 	UnreachableKept = 10 * time.Second
 	// LeaveParts (parts) are what a leaving holder's keys are released in, one after the other.
 	LeaveParts = 4
-	// LeaveStep (time) lies between two such parts: all are under way in 0.9 s of the 2.5 s that a draining back end serves.
-	LeaveStep = 300 * time.Millisecond
+	// LeaveStep (time) lies between two such parts: all are under way in 0.75 s of the 2.5 s that a draining back end serves.
+	LeaveStep = 250 * time.Millisecond
 	// PiecesMost (spans) are what a freed span is split into at the most.
 	PiecesMost = 8
 	// HeatLeast (requests/s) is the sum below which heat tells nothing.
