--- a/internal/keys/keys.go
+++ b/internal/keys/keys.go
@@ -252,8 +252,6 @@
 	services  map[string]*memory
 	// withdrawn are the rows, at an index, whose holder may lose them by a record that is still on its way; they get no more grants.
 	withdrawn map[string]uint64
-	// isHasty is for tests: it skips the wait for holds to lapse.
-	isHasty bool
 }
 
 // New makes a Granter.
--- a/internal/keys/step.go
+++ b/internal/keys/step.go
@@ -193,9 +193,6 @@
 
 // hasLapsed tells that nobody can hold any of a span's keys.
 func (s *step) hasLapsed(r row) bool {
-	if s.g.isHasty {
-		return true
-	}
 	for _, e := range s.g.exposures {
 		if e.service != s.service.Name || !e.isOpen && e.until <= s.f.Now || s.isMoot(e) {
 			continue
