--- a/internal/constants/constants.go
+++ b/internal/constants/constants.go
@@ -210,10 +210,16 @@
 
 	// Keys (keys) of a keyed service of a routed fleet: 0 to 65535.
 	Keys = 1 << 16
-	// HeatBuckets (buckets) in which a node counts the requests of a keyed service: 256 keys each, so that a beat with them stays small.
-	HeatBuckets = 256
+	// HeatBuckets (buckets) in which a node notes the work of a keyed service: 64 keys each, fine enough to divide a hot range; beats carry only those that had work.
+	HeatBuckets = 1024
 	// HeatEvery (time) is how often a beat carries them.
-	HeatEvery = 2 * time.Second
+	HeatEvery = time.Second
+	// HeatReports (reports) of a node are averaged: fewer follow chance, more come late.
+	HeatReports = 3
+	// ParkPoll (time) is how often a request that waits for its key looks again.
+	ParkPoll = 15 * time.Millisecond
+	// ParkParts (parts) of a request's aim, one of which it may wait for its key: a refusal after more is late.
+	ParkParts = 5
 	// RetryParts (slots) divide the retry window: a hundredth of it is lost at each edge.
 	RetryParts = 100
 	// RetrySlots (slots) are kept: the window, its margins and room for the slot that is being reused.
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -13,7 +13,6 @@
 
 	"topazshed/internal/constants"
 	"topazshed/internal/image"
-	"topazshed/internal/keys"
 	"topazshed/internal/neighbours"
 	"topazshed/internal/quorum"
 	"topazshed/internal/roster"
@@ -56,7 +55,7 @@
 	Hard     *schema.HardState
 	Sends    []Send
 	Outcomes []Outcome
-	Calls    []keys.Call
+	Calls    []GrantCall
 	IsWork   bool
 }
 
@@ -516,7 +515,7 @@
 		}
 		c.rost.Report(b.Node.Id, b.Vitals)
 		if c.routed != nil && len(b.Heat) > 0 {
-			c.routed.heats[b.Node.Id] = nodeHeat{c.now, b.Heat}
+			c.routed.noteHeat(c.now, b.Node.Id, b.Heat)
 		}
 		row := c.view.Nodes[b.Node.Id]
 		isKnown := row != nil && row.State != schema.NodeState_NODE_LOST && b.Node.State == row.State
--- a/internal/core/driver.go
+++ b/internal/core/driver.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"topazshed/internal/journal"
-	"topazshed/internal/keys"
 	"topazshed/internal/schema"
 )
 
@@ -17,7 +16,7 @@
 	Now     func() time.Duration
 	Send    func(to string, f *schema.Frame)
 	Answer  func(Outcome)
-	Granted func(keys.Call)
+	Granted func(GrantCall)
 	Synced  func(took time.Duration, err error)
 	Publish func()
 	Write   func(work func() error, done func(error))
--- a/internal/core/routed.go
+++ b/internal/core/routed.go
@@ -24,7 +24,7 @@
 	// ColdBearable is how many requests a second the whole fleet may send to a cold back end.
 	ColdBearable func(*schema.ServicePolicy) int
 	// Heat gives the requests by key since it was last asked.
-	Heat func() []*schema.KeyHeat
+	Heat func(since time.Duration) []*schema.KeyHeat
 }
 
 type nodeHeat struct {
@@ -32,19 +32,26 @@
 	heats []*schema.KeyHeat
 }
 
+// GrantCall is a call to a back end, with the granter's life that made it.
+type GrantCall struct {
+	keys.Call
+	Life uint64
+}
+
 type routedState struct {
 	options  *Routed
 	granter  *keys.Granter
 	watch    *roster.Watch
 	listing  *roster.Listing
-	heats    map[string]nodeHeat
+	life     uint64
+	heats    map[string][]nodeHeat
 	heatAt   time.Duration
 	dead     map[string]bool
 	deferred []*waiter
 }
 
 func newRoutedState(options Options) *routedState {
-	r := &routedState{options: options.Routed, heats: map[string]nodeHeat{}, dead: map[string]bool{}}
+	r := &routedState{options: options.Routed, heats: map[string][]nodeHeat{}, dead: map[string]bool{}}
 	r.resign(options)
 	return r
 }
@@ -53,7 +60,8 @@
 	r.granter = keys.New(keys.Options{Most: options.Routed.HoldMost})
 	r.watch = roster.NewWatch(options.Routed.ListLag)
 	r.listing = nil
-	r.heats = map[string]nodeHeat{}
+	r.heats = map[string][]nodeHeat{}
+	r.life++
 	r.dead = map[string]bool{}
 }
 
@@ -61,25 +69,41 @@
 	if r.options.Heat == nil || now-r.heatAt < constants.HeatEvery {
 		return nil
 	}
+	span := now - r.heatAt
 	r.heatAt = now
-	return r.options.Heat()
+	return r.options.Heat(span)
+}
+
+func (r *routedState) noteHeat(now time.Duration, node string, heats []*schema.KeyHeat) {
+	reports := append(r.heats[node], nodeHeat{now, heats})
+	r.heats[node] = reports[max(0, len(reports)-constants.HeatReports):]
 }
 
 func (r *routedState) heat(now time.Duration) map[string][]float64 {
 	sums := map[string][]float64{}
-	for id, of := range r.heats {
-		if now-of.at > 2*constants.HeatEvery+constants.HeatEvery/2 {
+	for id, reports := range r.heats {
+		if now-reports[len(reports)-1].at > constants.HeatReports*constants.HeatEvery {
 			delete(r.heats, id)
 			continue
 		}
-		for _, heat := range of.heats {
-			sum := sums[heat.Service]
-			if sum == nil {
-				sum = make([]float64, constants.HeatBuckets)
-				sums[heat.Service] = sum
+		span := float64(0)
+		for _, report := range reports {
+			for _, heat := range report.heats[:min(1, len(report.heats))] {
+				span += float64(heat.SpanMs)
 			}
-			for i, count := range heat.Counts[:min(len(heat.Counts), constants.HeatBuckets)] {
-				sum[i] += float64(count) / constants.HeatEvery.Seconds()
+		}
+		for _, report := range reports {
+			for _, heat := range report.heats {
+				sum := sums[heat.Service]
+				if sum == nil {
+					sum = make([]float64, constants.HeatBuckets)
+					sums[heat.Service] = sum
+				}
+				for i, bucket := range heat.Buckets[:min(len(heat.Buckets), len(heat.BusyMs))] {
+					if bucket < constants.HeatBuckets && span > 0 {
+						sum[bucket] += float64(heat.BusyMs[i]) / span
+					}
+				}
 			}
 		}
 	}
@@ -107,10 +131,10 @@
 	}
 }
 
-// Granted takes what became of a call to a back end.
-func (c *Core) Granted(now time.Duration, answer keys.Answer) {
+// Granted takes what became of a call to a back end; an answer for a former granter is worth nothing.
+func (c *Core) Granted(now time.Duration, life uint64, answer keys.Answer) {
 	c.now = now
-	if c.routed != nil {
+	if c.routed != nil && c.routed.life == life {
 		c.routed.granter.Answered(now, answer)
 		c.planAt = 0
 	}
@@ -135,7 +159,9 @@
 	for _, record := range effects.Records {
 		c.propose(record)
 	}
-	c.effects.Calls = append(c.effects.Calls, effects.Calls...)
+	for _, call := range effects.Calls {
+		c.effects.Calls = append(c.effects.Calls, GrantCall{call, r.life})
+	}
 }
 
 func (c *Core) operatePutRoutes(w *waiter) {
--- a/internal/gateway/course.go
+++ b/internal/gateway/course.go
@@ -14,6 +14,7 @@
 // The orders of a course.
 const (
 	OrderConnect OrderKind = iota
+	OrderWait
 	OrderSend
 	OrderPass
 	OrderRefuse
@@ -52,6 +53,8 @@
 	EventErrored
 	// EventBroken: bytes were written and no whole, trustworthy answer came.
 	EventBroken
+	// EventWoken: the wait that was ordered is over.
+	EventWoken
 	// EventExpired: the deadline or the route's time-out is over.
 	EventExpired
 )
@@ -76,6 +79,8 @@
 	Token   string
 	Begun   time.Duration
 	Until   time.Duration
+	// IsKeyed says that the service is divided by key and the request names one.
+	IsKeyed bool
 	// IsReplayable says that the body can be sent again.
 	IsReplayable bool
 }
@@ -88,6 +93,7 @@
 	tried    []string
 	choice   Choice
 	mayRun   bool
+	parkedAt time.Duration
 	reason   string
 	Repeats  int
 }
@@ -151,6 +157,10 @@
 	choice := Choose(Situation{Now: now, View: view, Self: c.Self, Loads: c.Loads, Draw: c.Draw, Route: c.Route, Service: c.Service,
 		Key: c.Key, HasKey: c.HasKey, Token: c.Token, Tried: c.tried})
 	if choice.Backend == nil {
+		if choice.Refusal == RefusalMoving && c.park(now) {
+			c.searches--
+			return Order{Kind: OrderWait, Wait: min(constants.ParkPoll, c.Until-now)}
+		}
 		return c.end(choice.Refusal)
 	}
 	if c.sent > 0 {
@@ -163,6 +173,15 @@
 	return Order{Kind: OrderConnect, Backend: choice.Backend, Wait: min(constants.BackendConnect, c.Until-now)}
 }
 
+// park tells whether a request may wait on for its key to be held again: a quarter of its aim, so that a refusal is never late.
+func (c *Course) park(now time.Duration) bool {
+	if c.parkedAt == 0 {
+		c.parkedAt = now
+	}
+	most := time.Duration(max(c.Route.TargetMs, 100)) * time.Millisecond / constants.ParkParts
+	return now-c.Begun < most && len(c.tried) == 0
+}
+
 func (c *Course) end(refusal Refusal) Order {
 	if c.mayRun {
 		return Order{Kind: OrderFail, Status: 502, Reason: c.reason}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -130,8 +130,8 @@
 	w.Write(body)
 }
 
-// IsFit tells whether a node has a configuration and was told of the newest state in this life.
-func IsFit(local *core.Local) bool { return local.FreshAt > 0 && local.View.Head.GetVersion() > 0 }
+// IsFit tells whether a node has a configuration: its own disk's after a start, until it is told of a newer one.
+func IsFit(local *core.Local) bool { return local.View.Head.GetVersion() > 0 }
 
 func hostOf(r *http.Request) string {
 	host := r.Host
@@ -201,8 +201,8 @@
 	}
 	options.IsReplayable = x.stream == nil
 	g.loads.First(begun, options.Service)
-	if service := local.View.Services[options.Service]; service != nil && service.Policy.GetKeyed() && options.HasKey {
-		g.loads.Heat(options.Service, options.Key)
+	if service := local.View.Services[options.Service]; service != nil {
+		options.IsKeyed = service.Policy.GetKeyed() && options.HasKey
 	}
 	g.run(w, r, x, NewCourse(options))
 }
@@ -275,6 +275,16 @@
 			}
 			conn, isClean = fresh, false
 			event = Event{Kind: EventConnected}
+		case OrderWait:
+			event = Event{Kind: EventWoken}
+			select {
+			case <-ctx.Done():
+				if errors.Is(ctx.Err(), context.Canceled) {
+					panic(http.ErrAbortHandler)
+				}
+				event = Event{Kind: EventExpired}
+			case <-time.After(order.Wait):
+			}
 		case OrderSend:
 			answer, isClean, event = g.send(ctx, x, conn, order, course)
 			if event.Kind == EventExpired && errors.Is(ctx.Err(), context.Canceled) {
@@ -315,7 +325,17 @@
 func (g *Gateway) send(ctx context.Context, x *exchange, conn *Conn, order Order, course *Course) (*Answer, bool, Event) {
 	instance := order.Backend.Instance
 	begun := g.options.Now()
-	finish := func(isServed bool) { g.loads.End(g.options.Now(), instance, g.options.Now()-begun, isServed) }
+	finish := func(isServed bool) {
+		now := g.options.Now()
+		g.loads.End(now, instance, now-begun, isServed)
+		if course.IsKeyed {
+			busy := now - begun
+			if !isServed {
+				busy = max(busy, g.loads.Read(now, instance).Delay)
+			}
+			g.loads.Heat(course.Service, course.Key, busy)
+		}
+	}
 	x.target = instance
 	stop := context.AfterFunc(ctx, func() { conn.SetDeadline(time.Unix(1, 0)) })
 	defer stop()
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -1,6 +1,9 @@
 package gateway
 
 import (
+	"maps"
+	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -44,7 +47,7 @@
 	lock      sync.Mutex
 	instances map[string]*instance
 	windows   map[string]*window
-	heat      map[string][]uint32
+	heat      map[string]map[uint32]uint32
 }
 
 // Loads are the hot tables of a gateway: attempts in flight, delays, cold parts, retry budgets and key heat, sharded with a lock each.
@@ -58,7 +61,7 @@
 func NewLoads(since time.Duration, bounds Bounds) *Loads {
 	l := &Loads{bounds: bounds, since: since}
 	for i := range l.shards {
-		l.shards[i] = shard{instances: map[string]*instance{}, windows: map[string]*window{}, heat: map[string][]uint32{}}
+		l.shards[i] = shard{instances: map[string]*instance{}, windows: map[string]*window{}, heat: map[string]map[uint32]uint32{}}
 	}
 	return l
 }
@@ -227,30 +230,35 @@
 	return true
 }
 
-// Heat counts a request on a key.
-func (l *Loads) Heat(service string, key uint32) {
+// Heat notes how long a back end worked on a key.
+func (l *Loads) Heat(service string, key uint32, busy time.Duration) {
 	s, free := l.in(service)
 	defer free()
-	counts := s.heat[service]
-	if counts == nil {
-		counts = make([]uint32, constants.HeatBuckets)
-		s.heat[service] = counts
+	of := s.heat[service]
+	if of == nil {
+		of = map[uint32]uint32{}
+		s.heat[service] = of
 	}
-	counts[key/(constants.Keys/constants.HeatBuckets)%constants.HeatBuckets]++
+	of[key/(constants.Keys/constants.HeatBuckets)%constants.HeatBuckets] += uint32(busy.Milliseconds())
 }
 
-// TakeHeat gives the counts since it was last asked.
-func (l *Loads) TakeHeat() []*schema.KeyHeat {
+// TakeHeat gives what was noted since it was last asked.
+func (l *Loads) TakeHeat(span time.Duration) []*schema.KeyHeat {
 	var heats []*schema.KeyHeat
 	for n := range l.shards {
 		s := &l.shards[n]
 		s.lock.Lock()
-		for service, counts := range s.heat {
-			heats = append(heats, &schema.KeyHeat{Service: service, Counts: counts})
+		for service, of := range s.heat {
+			heat := &schema.KeyHeat{Service: service, SpanMs: uint32(span.Milliseconds())}
+			for _, bucket := range slices.Sorted(maps.Keys(of)) {
+				heat.Buckets, heat.BusyMs = append(heat.Buckets, bucket), append(heat.BusyMs, of[bucket])
+			}
+			heats = append(heats, heat)
 		}
-		s.heat = map[string][]uint32{}
+		s.heat = map[string]map[uint32]uint32{}
 		s.lock.Unlock()
 	}
+	slices.SortFunc(heats, func(a, b *schema.KeyHeat) int { return strings.Compare(a.Service, b.Service) })
 	return heats
 }
 
--- a/internal/keys/keys.go
+++ b/internal/keys/keys.go
@@ -53,24 +53,28 @@
 	LeaveStep = 250 * time.Millisecond
 	// PiecesMost (spans) are what a freed span is split into at the most.
 	PiecesMost = 8
-	// HeatLeast (requests/s) is the sum below which heat tells nothing.
-	HeatLeast = 10.0
-	// HeatUneven (requests/s) is the least difference from the mean worth a move.
-	HeatUneven = 5.0
+	// HeatLeast (requests in flight) is the sum below which heat tells nothing.
+	HeatLeast = 2.0
+	// HeatUneven (requests in flight) is the least difference from the mean worth a move.
+	HeatUneven = 0.8
 	// HotShare (parts of the mean) is the load above which a back end gives keys away.
 	HotShare = 1.35
 	// IdleShare (parts of the mean) is the load below which a back end is given keys.
 	IdleShare = 0.5
-	// UnevenFor (time) is how long the load must be uneven before keys move: a few reports of heat.
-	UnevenFor = 1500 * time.Millisecond
-	// MovesMost (moves) of a service are under way at once for the sake of load.
+	// UnevenFor (time) is how long the load must be uneven before keys move, and between two rounds of moves: a report of heat.
+	UnevenFor = 700 * time.Millisecond
+	// MovesMost (moves) of a service are under way at once for the sake of load, at the least.
 	MovesMost = 2
+	// MovesParts (back ends) for each of which one more move may be under way: so that a fleet's first load is spread in seconds.
+	MovesParts = 3
 	// MovePart (parts of the mean) is the least heat worth a move.
 	MovePart = 0.05
 	// MoveDensity (parts) of the hottest bucket's density a neighbour must have to go with it: lukewarm keys stay, since their share is priced.
 	MoveDensity = 0.5
 	// SpansMost (spans) of a service above which load moves nothing and spans of differing fences are merged.
 	SpansMost = 64
+	// SpansParts (spans) a back end may have on the mean in a large service.
+	SpansParts = 5
 	// KeyPart (parts) is the weight of a range's share of keys beside that of its heat when freed keys are spread.
 	KeyPart = 0.1
 )
@@ -91,7 +95,7 @@
 	ElectedAt time.Duration
 	// LeaseAt is the latest instant at which a majority certainly still followed this leader.
 	LeaseAt time.Duration
-	// Heat is each service's requests a second by equal buckets of keys.
+	// Heat is how many requests each service's back ends work on at once, by equal buckets of keys.
 	Heat map[string][]float64
 	// Dead tells that an instance's process has surely ended.
 	Dead func(instance string) bool
--- a/internal/keys/step.go
+++ b/internal/keys/step.go
@@ -404,6 +404,8 @@
 	return !r.Releasing && p != nil && p.isDone && !p.isBarred && !s.isBusy(r) && !s.isWithdrawn(r)
 }
 
+func (s *step) spansMost() int { return max(SpansMost, SpansParts*len(s.eligible)) }
+
 // balance moves the hottest small ranges from the most to the least loaded back end.
 func (s *step) balance() {
 	moves := 0
@@ -414,7 +416,7 @@
 			moves++
 		}
 	}
-	if s.heat.total < HeatLeast || len(s.eligible) < 2 || len(s.rows) > SpansMost {
+	if s.heat.total < HeatLeast || len(s.eligible) < 2 || len(s.rows) > s.spansMost() {
 		s.m.isUneven = false
 		return
 	}
@@ -434,7 +436,7 @@
 	if s.f.Now-s.m.unevenAt < UnevenFor {
 		return
 	}
-	for ; moves < MovesMost; moves++ {
+	for ; moves < max(MovesMost, len(s.eligible)/MovesParts); moves++ {
 		least, most, isStill := ends()
 		if !isStill {
 			return
@@ -511,7 +513,7 @@
 func (s *step) merge() {
 	for i := 1; i < len(s.rows); i++ {
 		a, b := s.rows[i-1], s.rows[i]
-		if a.Instance != b.Instance || a.Last+1 != b.First || a.Fence != b.Fence && len(s.rows) <= SpansMost || !s.isSettled(a) || !s.isSettled(b) {
+		if a.Instance != b.Instance || a.Last+1 != b.First || a.Fence != b.Fence && len(s.rows) <= s.spansMost() || !s.isSettled(a) || !s.isSettled(b) {
 			continue
 		}
 		if _, isLeaving := s.m.leaving[a.Instance]; isLeaving {
--- a/internal/node/routed.go
+++ b/internal/node/routed.go
@@ -55,7 +55,7 @@
 	bounds := n.seam.Bounds
 	reckon := gateway.NewLoads(n.Now(), bounds.Bounds)
 	return &core.Routed{HoldMost: bounds.HoldMost, ListLag: bounds.ListLag, ColdBearable: reckon.ColdBearable,
-		Heat: func() []*schema.KeyHeat { return n.gateway.Loads().TakeHeat() }}
+		Heat: func(span time.Duration) []*schema.KeyHeat { return n.gateway.Loads().TakeHeat(span) }}
 }
 
 func (n *Node) startRouted() error {
@@ -144,11 +144,11 @@
 	}
 }
 
-func (n *Node) grant(call keys.Call) {
+func (n *Node) grant(call core.GrantCall) {
 	n.tasks.Go(func() {
 		ctx, cancel := context.WithTimeout(n.context, call.Wait)
 		defer cancel()
-		answer, err := n.seam.Grant(ctx, call)
+		answer, err := n.seam.Grant(ctx, call.Call)
 		n.do(func() {
 			now := n.Now()
 			if errors.Is(err, syscall.ECONNREFUSED) {
@@ -160,7 +160,7 @@
 			} else {
 				delete(n.refused, call.Instance)
 			}
-			n.core.Granted(now, answer)
+			n.core.Granted(now, call.Life, answer)
 		})
 	})
 }
