--- a/internal/constants/constants.go
+++ b/internal/constants/constants.go
@@ -216,6 +216,10 @@
 	HeatEvery = time.Second
 	// HeatReports (reports) of a node are averaged: fewer follow chance, more come late.
 	HeatReports = 3
+	// HeatCap (times) the usual time is the most that one request adds to the heat of its key.
+	HeatCap = 2
+	// UsualStep (parts) is how far the usual time, a running median, moves at each request: a twentieth.
+	UsualStep = 20
 	// ParkPoll (time) is how often a request that waits for its key looks again.
 	ParkPoll = 15 * time.Millisecond
 	// ParkParts (parts) of a request's aim, one of which it may wait for its key: a refusal after more is late.
--- a/internal/core/routed.go
+++ b/internal/core/routed.go
@@ -155,7 +155,7 @@
 		}
 	}
 	effects := r.granter.Step(keys.Facts{Now: c.now, View: c.view, Table: c.table, IsLeading: true, ElectedAt: c.electedAt, LeaseAt: c.quorum.Contact(),
-		Heat: r.heat(c.now), Dead: func(instance string) bool { return r.dead[instance] }})
+		Heat: r.heat(c.now), Dead: c.isEnded})
 	for _, record := range effects.Records {
 		c.propose(record)
 	}
@@ -164,6 +164,19 @@
 	}
 }
 
+// isEnded tells that a back end's process has surely ended: it was refused twice at its address, or two whole reads of the list lacked it.
+func (c *Core) isEnded(instance string) bool {
+	if c.routed.dead[instance] {
+		return true
+	}
+	for _, service := range c.view.Services {
+		if service.Backend(instance) != nil {
+			return false
+		}
+	}
+	return len(c.view.Services) > 0
+}
+
 func (c *Core) operatePutRoutes(w *waiter) {
 	if c.routed == nil {
 		c.reply(w, &schema.OperatorOutcome{Decline: schema.DeclineKind_DECLINE_UNKNOWN, Message: "this fleet carries entries, not routes; put a configuration of entries"})
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -329,11 +329,7 @@
 		now := g.options.Now()
 		g.loads.End(now, instance, now-begun, isServed)
 		if course.IsKeyed {
-			busy := now - begun
-			if !isServed {
-				busy = max(busy, g.loads.Read(now, instance).Delay)
-			}
-			g.loads.Heat(course.Service, course.Key, busy)
+			g.loads.Heat(course.Service, course.Key, now-begun, isServed)
 		}
 	}
 	x.target = instance
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -48,6 +48,7 @@
 	instances map[string]*instance
 	windows   map[string]*window
 	heat      map[string]map[uint32]uint32
+	usual     map[string]time.Duration
 }
 
 // Loads are the hot tables of a gateway: attempts in flight, delays, cold parts, retry budgets and key heat, sharded with a lock each.
@@ -61,7 +62,7 @@
 func NewLoads(since time.Duration, bounds Bounds) *Loads {
 	l := &Loads{bounds: bounds, since: since}
 	for i := range l.shards {
-		l.shards[i] = shard{instances: map[string]*instance{}, windows: map[string]*window{}, heat: map[string]map[uint32]uint32{}}
+		l.shards[i] = shard{instances: map[string]*instance{}, windows: map[string]*window{}, heat: map[string]map[uint32]uint32{}, usual: map[string]time.Duration{}}
 	}
 	return l
 }
@@ -230,10 +231,24 @@
 	return true
 }
 
-// Heat notes how long a back end worked on a key.
-func (l *Loads) Heat(service string, key uint32, busy time.Duration) {
+// Heat notes how long a back end worked on a key. What is far above the usual was spent in a queue, and what was turned away tells nothing
+// of its work, so that both count as bounded by the usual.
+func (l *Loads) Heat(service string, key uint32, busy time.Duration, isServed bool) {
 	s, free := l.in(service)
 	defer free()
+	usual := s.usual[service]
+	switch {
+	case !isServed && usual > 0:
+		busy = usual
+	case usual == 0:
+		usual = busy
+	case busy > usual:
+		usual += usual / constants.UsualStep
+	default:
+		usual -= usual / constants.UsualStep
+	}
+	s.usual[service] = usual
+	busy = min(busy, constants.HeatCap*usual)
 	of := s.heat[service]
 	if of == nil {
 		of = map[uint32]uint32{}
--- a/internal/keys/keys.go
+++ b/internal/keys/keys.go
@@ -41,8 +41,8 @@
 	ProposalPause = time.Second
 	// RetryPause (time) passes before a failed call is sent again.
 	RetryPause = 200 * time.Millisecond
-	// LayoutSettle (time) is how long the first list of back ends may become whole before the first layout.
-	LayoutSettle = time.Second
+	// LayoutSettle (time) is how long the set of back ends must have stood still before the first layout, so that one that is just starting up has its part.
+	LayoutSettle = 1500 * time.Millisecond
 	// UnreachableAfter (time) without any taken grant a holder is given up: three calls.
 	UnreachableAfter = 2 * time.Second
 	// UnreachableKept (time) is how long a given-up back end gets no keys: longer than a hold, so that it does not get its own back at once.
@@ -65,8 +65,6 @@
 	UnevenFor = 700 * time.Millisecond
 	// MovesMost (moves) of a service are under way at once for the sake of load, at the least.
 	MovesMost = 2
-	// MovesParts (back ends) for each of which one more move may be under way: so that a fleet's first load is spread in seconds.
-	MovesParts = 3
 	// MovePart (parts of the mean) is the least heat worth a move.
 	MovePart = 0.05
 	// MoveDensity (parts) of the hottest bucket's density a neighbour must have to go with it: lukewarm keys stay, since their share is priced.
@@ -233,6 +231,7 @@
 type memory struct {
 	eligibleAt  time.Duration
 	hasEligible bool
+	eligible    int
 	proposed    map[string]proposal
 	grants      map[identity]*progress
 	releases    map[identity]*progress
--- a/internal/keys/step.go
+++ b/internal/keys/step.go
@@ -155,8 +155,8 @@
 		s.m.hasEligible = false
 		return
 	}
-	if !s.m.hasEligible {
-		s.m.hasEligible, s.m.eligibleAt = true, s.f.Now
+	if !s.m.hasEligible || s.m.eligible != len(s.eligible) {
+		s.m.hasEligible, s.m.eligibleAt, s.m.eligible = true, s.f.Now, len(s.eligible)
 	}
 	key := image.SpanKey(s.service.Name, 0)
 	if p, isThere := s.m.proposed[key]; s.f.Now-s.m.eligibleAt < LayoutSettle || isThere && s.f.Now-p.at < ProposalPause {
@@ -324,28 +324,38 @@
 
 // free proposes to take a part of a span off its holder.
 func (s *step) free(r row, first, last uint32, target, reason string) {
-	part := func(first, last uint32) *schema.KeySpan {
-		span := &schema.KeySpan{Service: s.service.Name, First: first, Last: last, Instance: r.Instance, Fence: r.Fence}
-		if p := s.m.grants[r.identity()]; p == nil || !p.isDone {
-			span.Handover = r.Handover
-		}
-		return span
-	}
-	var spans []*schema.KeySpan
+	var plan []piece
 	if first > r.First {
-		spans = append(spans, part(r.First, first-1))
+		plan = append(plan, piece{r.First, first - 1, ""})
 	}
-	freed := part(first, last)
-	freed.Releasing, freed.Fence, freed.Handover = true, r.Fence+1, ""
-	spans = append(spans, freed)
+	plan = append(plan, piece{first, last, target})
 	if last < r.Last {
-		spans = append(spans, part(last+1, r.Last))
+		plan = append(plan, piece{last + 1, r.Last, ""})
+	}
+	s.freeParts(r, plan, reason)
+}
+
+// freeParts proposes to take those parts of a span off its holder that have a target.
+func (s *step) freeParts(r row, plan []piece, reason string) {
+	handover := r.Handover
+	if p := s.m.grants[r.identity()]; p != nil && p.isDone {
+		handover = ""
 	}
-	weight := s.heat.weight(first, last)
-	s.loads[r.Instance] -= weight
-	s.loads[target] += weight
-	s.m.targets[first] = target
-	s.propose(reason, last-first+1, []row{r}, spans)
+	var spans []*schema.KeySpan
+	width := uint32(0)
+	for _, p := range plan {
+		span := &schema.KeySpan{Service: s.service.Name, First: p.first, Last: p.last, Instance: r.Instance, Fence: r.Fence, Handover: handover}
+		if p.target != "" {
+			span.Releasing, span.Fence, span.Handover = true, r.Fence+1, ""
+			weight := s.heat.weight(p.first, p.last)
+			s.loads[r.Instance] -= weight
+			s.loads[p.target] += weight
+			s.m.targets[p.first] = p.target
+			width += p.last - p.first + 1
+		}
+		spans = append(spans, span)
+	}
+	s.propose(reason, width, []row{r}, spans)
 }
 
 // mustLeave tells whether a holder is to lose all its keys, and whether a part at a time.
@@ -406,7 +416,13 @@
 
 func (s *step) spansMost() int { return max(SpansMost, SpansParts*len(s.eligible)) }
 
-// balance moves the hottest small ranges from the most to the least loaded back end.
+// piece is a part of a span that stays, or that goes to a target.
+type piece struct {
+	first, last uint32
+	target      string
+}
+
+// balance moves the hottest small ranges from the most to the least loaded back ends, several at a time.
 func (s *step) balance() {
 	moves := 0
 	loads := map[string]float64{}
@@ -436,39 +452,54 @@
 	if s.f.Now-s.m.unevenAt < UnevenFor {
 		return
 	}
-	for ; moves < max(MovesMost, len(s.eligible)/MovesParts); moves++ {
+	plans := map[uint32][]piece{}
+	for ; moves < max(MovesMost, len(s.eligible)); moves++ {
 		least, most, isStill := ends()
 		if !isStill {
-			return
+			break
 		}
-		amount := min((loads[most]-loads[least])/2, mean-loads[least])
-		r, first, last, isFound := s.hottest(most, amount, mean)
+		amount := min((loads[most]-loads[least])/2, max(mean-loads[least], mean*MovePart))
+		moved, isFound := s.carve(plans, most, least, amount, mean)
 		if !isFound {
-			return
+			break
 		}
-		moved := s.heat.sum(first, last)
 		loads[most] -= moved
 		loads[least] += moved
-		s.free(r, first, last, least, "move hot keys")
-		s.m.unevenAt = s.f.Now
+	}
+	for _, r := range s.rows {
+		if plan := plans[r.First]; slices.ContainsFunc(plan, func(p piece) bool { return p.target != "" }) {
+			s.freeParts(r, plan, "move hot keys")
+			s.m.unevenAt = s.f.Now
+		}
 	}
 }
 
-// hottest finds the densest range of an instance that carries no more than an amount of heat; while that one is under way nothing cooler moves.
-func (s *step) hottest(instance string, amount, mean float64) (row, uint32, uint32, bool) {
+// carve finds the densest range of an instance that carries no more than an amount of heat, and plans it for a target.
+func (s *step) carve(plans map[uint32][]piece, instance, target string, amount, mean float64) (float64, bool) {
 	type seed struct {
 		r           row
+		at          int
 		first, last uint32
 		density     float64
 	}
 	var seeds []seed
 	for _, r := range s.rows {
-		if r.Instance != instance {
+		if r.Instance != instance || !s.isSettled(r) {
 			continue
 		}
-		s.heat.each(r.First, r.Last, func(first, last uint32) {
-			seeds = append(seeds, seed{r, first, last, s.heat.sum(first, last) / float64(last-first+1)})
-		})
+		plan, isPlanned := plans[r.First]
+		if !isPlanned {
+			plan = []piece{{r.First, r.Last, ""}}
+			plans[r.First] = plan
+		}
+		for at, p := range plan {
+			if p.target != "" {
+				continue
+			}
+			s.heat.each(p.first, p.last, func(first, last uint32) {
+				seeds = append(seeds, seed{r, at, first, last, s.heat.sum(first, last) / float64(last-first+1)})
+			})
+		}
 	}
 	slices.SortStableFunc(seeds, func(a, b seed) int { return cmp.Compare(b.density, a.density) })
 	for _, hot := range seeds {
@@ -479,34 +510,42 @@
 		if s.heat.sum(first, last) > amount {
 			continue
 		}
-		if !s.isSettled(hot.r) {
-			return row{}, 0, 0, false
-		}
+		whole := plans[hot.r.First][hot.at]
 		isFitting := func(a, b uint32) bool {
 			part := s.heat.sum(a, b)
 			return part >= MoveDensity*hot.density*float64(b-a+1) && s.heat.sum(first, last)+part <= amount
 		}
 		if last == hot.last {
-			for first > hot.r.First {
-				next := max(s.heat.start(first-1), hot.r.First)
-				if !isFitting(next, first-1) {
-					break
+			for hasGrown := true; hasGrown; {
+				hasGrown = false
+				if first > whole.first {
+					if next := max(s.heat.start(first-1), whole.first); isFitting(next, first-1) {
+						first, hasGrown = next, true
+					}
 				}
-				first = next
-			}
-			for last < hot.r.Last {
-				next := min(s.heat.end(last+1), hot.r.Last)
-				if !isFitting(last+1, next) {
-					break
+				if last < whole.last {
+					if next := min(s.heat.end(last+1), whole.last); isFitting(last+1, next) {
+						last, hasGrown = next, true
+					}
 				}
-				last = next
 			}
 		}
-		if s.heat.sum(first, last) >= max(1, MovePart*mean) {
-			return hot.r, first, last, true
+		moved := s.heat.sum(first, last)
+		if moved < MovePart*mean {
+			continue
+		}
+		var parts []piece
+		if first > whole.first {
+			parts = append(parts, piece{whole.first, first - 1, ""})
+		}
+		parts = append(parts, piece{first, last, target})
+		if last < whole.last {
+			parts = append(parts, piece{last + 1, whole.last, ""})
 		}
+		plans[hot.r.First] = slices.Replace(plans[hot.r.First], hot.at, hot.at+1, parts...)
+		return moved, true
 	}
-	return row{}, 0, 0, false
+	return 0, false
 }
 
 // merge joins neighbours of one holder.
