--- a/internal/constants/constants.go
+++ b/internal/constants/constants.go
@@ -290,6 +290,26 @@
 	SettleMargin = 300 * time.Millisecond
 	// SponsorsMost (nodes) share what a cold back end bears: whole requests a second remain for each.
 	SponsorsMost = 4
+	// FarNeighbours (nodes) of other regions are probed at most where the own region has too few: bytes between regions are dear.
+	FarNeighbours = 1
+	// RoutedHeartbeat (time) keeps a routed fleet's leader known: four fit into the shortest election wait.
+	RoutedHeartbeat = 250 * time.Millisecond
+	// RoutedElectionLeast (time) is the shortest silence before a voter of a routed fleet asks for votes: its keys stay held for seconds, so it may wait.
+	RoutedElectionLeast = time.Second
+	// RoutedElectionSpread (time) is drawn on top.
+	RoutedElectionSpread = 600 * time.Millisecond
+	// RoutedBeat (time) is how often a routed fleet's nodes report to their relay, and relays to the leader: three in the silence after which a node is lost.
+	RoutedBeat = 700 * time.Millisecond
+	// RoutedProbe (time) is the probing period of one neighbour in a routed fleet.
+	RoutedProbe = 700 * time.Millisecond
+	// RoutedProbeWait (time) is the silence after which it is suspected.
+	RoutedProbeWait = 1800 * time.Millisecond
+	// RoutedShuffle (time) is how often views are shuffled in a routed fleet.
+	RoutedShuffle = 4 * time.Second
+	// WholeBeats (beats) one of which tells a node's addresses; the others only its state.
+	WholeBeats = 12
+	// FarSourceAfter (time) without a source in the own region after which a reader turns to another region's.
+	FarSourceAfter = 2500 * time.Millisecond
 	// ListEvery (time) is the pause between reads of a routed fleet's list: draining ones are known well within 2.5 s.
 	ListEvery = 400 * time.Millisecond
 	// ListCall (time) bounds one page's call.
--- /dev/null
+++ b/internal/core/beats.go
@@ -0,0 +1,139 @@
+package core
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"topazshed/internal/constants"
+	"topazshed/internal/neighbours"
+	"topazshed/internal/quorum"
+	"topazshed/internal/schema"
+)
+
+func (r *routedState) nearPace() neighbours.Pace {
+	if r == nil {
+		return neighbours.Pace{}
+	}
+	return neighbours.Pace{Probe: constants.RoutedProbe, Wait: constants.RoutedProbeWait, Shuffle: constants.RoutedShuffle, IsNear: true}
+}
+
+func (r *routedState) quorumPace() quorum.Pace {
+	if r == nil {
+		return quorum.Pace{}
+	}
+	return quorum.Pace{Heartbeat: constants.RoutedHeartbeat, ElectionLeast: constants.RoutedElectionLeast, ElectionSpread: constants.RoutedElectionSpread}
+}
+
+func (r *routedState) beatEvery() time.Duration {
+	if r == nil {
+		return constants.BeatEvery
+	}
+	return constants.RoutedBeat
+}
+
+// isFarDue tells whether no source of the own region has answered for so long that one elsewhere must do.
+func (r *routedState) isFarDue(now time.Duration, was string) bool {
+	if was == "" || r.seekingAt == 0 {
+		r.seekingAt = now
+	}
+	return now-r.seekingAt > constants.FarSourceAfter
+}
+
+// beatRouted reports to the relay, a disk machine of the own region; relays report to the leader what they were told since.
+func (c *Core) beatRouted(b *schema.Beat) {
+	r := c.routed
+	if c.serial%constants.WholeBeats != 1 && r.beatTo == c.beatTarget() && r.beatState == c.self.State {
+		b.Node = &schema.Node{Id: c.self.Id, State: c.self.State, Incarnation: c.self.Incarnation, Disk: c.self.Disk}
+	}
+	r.beatTo, r.beatState = c.beatTarget(), c.self.State
+	if c.quorum != nil && c.quorum.Role() == quorum.Leader {
+		c.noteBeat(b)
+		return
+	}
+	for _, id := range slices.Sorted(maps.Keys(r.relayed)) {
+		b.Relayed = append(b.Relayed, r.relayed[id])
+	}
+	r.relayed = map[string]*schema.Beat{}
+	c.send(r.beatTo, &schema.Frame{Body: &schema.Frame_Beat{Beat: b}})
+}
+
+func (c *Core) beatTarget() string {
+	switch {
+	case c.quorum == nil && c.source != "" && c.now-c.sourceAt <= constants.SourceSilent:
+		return c.source
+	case c.leader != "" && c.leader != c.self.Address && c.now-c.leaderAt <= constants.NodeLostAfter:
+		return c.leader
+	}
+	return ""
+}
+
+func (c *Core) takeBeatRouted(f *schema.Frame, b *schema.Beat) {
+	if c.IsLeading() {
+		for _, beat := range b.Relayed {
+			c.noteBeat(beat)
+		}
+		b.Relayed = nil
+		c.noteBeat(b)
+		return
+	}
+	if c.quorum == nil {
+		return
+	}
+	for _, beat := range append(b.Relayed, b) {
+		beat.Relayed = nil
+		if was := c.routed.relayed[beat.Node.GetId()]; was != nil {
+			if beat.Node.Address == "" && was.Node.Address != "" && was.Node.State == beat.Node.State {
+				beat.Node = was.Node
+			}
+			if len(beat.Heat) == 0 {
+				beat.Heat = was.Heat
+			}
+		}
+		c.routed.relayed[beat.Node.GetId()] = beat
+		if beat.Node.State == schema.NodeState_NODE_STOPPING || beat.Node.Address != "" && c.view.Nodes[beat.Node.Id] == nil {
+			c.beatAt = 0
+		}
+	}
+}
+
+func (c *Core) noteBeat(b *schema.Beat) {
+	if b.Node == nil {
+		return
+	}
+	g := c.nodes[b.Node.Id]
+	if g == nil {
+		g = &granted{firstHeard: c.now}
+		if row := c.view.Nodes[b.Node.Id]; row != nil {
+			g.node = row
+		}
+	}
+	if b.Node.Address == "" {
+		if g.node == nil {
+			return
+		}
+		node := proto.Clone(g.node).(*schema.Node)
+		node.State, node.Incarnation = b.Node.State, b.Node.Incarnation
+		b.Node = node
+	}
+	c.nodes[b.Node.Id] = g
+	if row := c.view.Nodes[b.Node.Id]; row == nil || row.State != b.Node.State {
+		c.planAt = 0
+	}
+	g.heard, g.version, g.suspects, g.node = c.now, b.Version, b.Suspects, b.Node
+	if len(b.Heat) > 0 {
+		c.routed.noteHeat(c.now, b.Node.Id, b.Heat)
+	}
+}
+
+// isReplaced tells that a newer process runs at a node's address, so that the node is no more.
+func (c *Core) isReplaced(node *schema.Node) bool {
+	for id, g := range c.nodes {
+		if id != node.Id && g.node.GetAddress() == node.Address && g.node.Incarnation > node.Incarnation {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -194,12 +194,12 @@
 	if options.Routed != nil {
 		c.routed = newRoutedState(options)
 	}
-	c.near = neighbours.New(neighbours.Options{Self: c.self, Seeds: options.Seeds, Draw: options.Draw})
+	c.near = neighbours.New(neighbours.Options{Self: c.self, Seeds: options.Seeds, Draw: options.Draw, Pace: c.routed.nearPace()})
 	if options.Self.Disk {
 		if options.Image != nil {
 			c.table.Restore(options.Image)
 		}
-		c.quorum = quorum.New(now, quorum.Options{ID: c.self.Id, Hard: options.Hard, Image: options.Image, Items: options.Items, Draw: options.Draw, Whole: c.Whole})
+		c.quorum = quorum.New(now, quorum.Options{ID: c.self.Id, Hard: options.Hard, Image: options.Image, Items: options.Items, Draw: options.Draw, Whole: c.Whole, Pace: c.routed.quorumPace()})
 		c.view = image.Compile(c.table)
 		c.noteFences(c.table.Rows(image.All))
 		c.learnMembers()
@@ -347,6 +347,10 @@
 		c.send(f.Address, &schema.Frame{Body: &schema.Frame_ProbeOutcome{ProbeOutcome: &schema.ProbeOutcome{Subject: c.self.Id, Serial: body.Probe.Serial, Incarnation: c.self.Incarnation}}})
 	case *schema.Frame_ProbeOutcome:
 	case *schema.Frame_Beat:
+		if c.routed != nil {
+			c.takeBeatRouted(f, body.Beat)
+			return
+		}
 		c.takeBeat(f, body.Beat)
 	case *schema.Frame_BeatOutcome:
 		c.takeGrant(f, body.BeatOutcome)
@@ -410,7 +414,7 @@
 		c.lead()
 		c.refresh()
 	}
-	if now-c.beatAt >= constants.BeatEvery {
+	if now-c.beatAt >= c.routed.beatEvery() {
 		c.beat()
 	}
 	if c.quorum == nil && now-c.subAt >= constants.SubscribeEvery {
@@ -468,6 +472,8 @@
 	b := &schema.Beat{Node: proto.Clone(c.self).(*schema.Node), Version: c.table.Version(), Vitals: c.vitals, Suspects: c.near.Suspects(), Serial: c.serial, Keepers: c.keepers, KeeperReady: c.isKeeping, Floor: c.floor}
 	if c.routed != nil {
 		b.Heat = c.routed.takeHeat(c.now)
+		c.beatRouted(b)
+		return
 	}
 	if c.quorum != nil && c.quorum.Role() == quorum.Leader {
 		c.takeBeat(&schema.Frame{From: c.self.Id, Address: c.self.Address}, b)
@@ -576,11 +582,12 @@
 	}
 	c.subAt = now
 	if c.source == "" || now-c.sourceAt > constants.SourceSilent {
+		was := c.source
 		c.source = c.pick(func(node *schema.Node) bool {
-			return node.Disk && node.Region == c.self.Region && node.Address != c.source
+			return node.Disk && node.Region == c.self.Region && node.Address != was
 		})
-		if c.options.Draw(4) == 0 {
-			c.source = c.pick(func(node *schema.Node) bool { return node.Disk && node.Address != c.source })
+		if c.routed == nil && c.options.Draw(4) == 0 || c.routed != nil && c.routed.isFarDue(c.now, was) {
+			c.source = c.pick(func(node *schema.Node) bool { return node.Disk && node.Address != was })
 		}
 		c.sourceAt = now
 	}
@@ -636,6 +643,9 @@
 		age = time.Minute
 	}
 	d := &schema.Delta{From: sub.sent, To: c.table.Version(), Serial: sub.serial, AgeMs: uint32(age.Milliseconds())}
+	if c.routed != nil {
+		d.Leader = c.leader
+	}
 	rows, isRemembered := c.table.Changes(sub.sent, sub.prefixes)
 	if isRemembered {
 		d.Whole = sub.wanted
@@ -681,6 +691,9 @@
 	for _, prefix := range d.Whole {
 		c.hold(prefix, true)
 	}
+	if age := time.Duration(d.AgeMs) * time.Millisecond; d.Leader != "" && age < constants.NodeLostAfter {
+		c.leader, c.leaderAt = d.Leader, c.now-age
+	}
 	if at, isKnown := c.subs[d.Serial]; isKnown {
 		c.freshAt = max(c.freshAt, at-time.Duration(d.AgeMs)*time.Millisecond)
 	}
--- a/internal/core/lead.go
+++ b/internal/core/lead.go
@@ -161,6 +161,9 @@
 			put(image.DistrictKey(g.node.District), image.Put(image.DistrictKey(g.node.District), &schema.District{Name: g.node.District, Region: g.node.Region, Residue: nextDistrict}))
 			nextDistrict += 2
 		}
+		if c.routed != nil && c.isReplaced(g.node) {
+			continue
+		}
 		fresh := proto.Clone(g.node).(*schema.Node)
 		if row == nil || row.State != fresh.State || row.Address != fresh.Address || row.Proxy != fresh.Proxy || row.Door != fresh.Door || row.Incarnation < fresh.Incarnation {
 			put(image.NodeKey(id), image.Put(image.NodeKey(id), fresh))
@@ -185,7 +188,10 @@
 		silence := c.now - heard
 		isLost := silence > constants.NodeLostAfter && witnesses[id] >= constants.SuspectWitnesses || silence > 2*constants.NodeLostAfter
 		isLapsed := silence > constants.GrantTime+constants.GrantMargin+constants.ClaimWindow
-		if isLapsed && row.State == schema.NodeState_NODE_STOPPING && !row.Disk || silence > time.Minute && !row.Disk {
+		if c.routed != nil && !row.Disk && c.isReplaced(row) {
+			put(image.NodeKey(id), image.Gone(image.NodeKey(id)))
+			delete(c.nodes, id)
+		} else if isLapsed && row.State == schema.NodeState_NODE_STOPPING && !row.Disk || silence > time.Minute && !row.Disk {
 			put(image.NodeKey(id), image.Gone(image.NodeKey(id)))
 			delete(c.nodes, id)
 			c.rost.Drop(id)
--- a/internal/core/routed.go
+++ b/internal/core/routed.go
@@ -48,10 +48,15 @@
 	heatAt   time.Duration
 	dead     map[string]bool
 	deferred []*waiter
+	// relayed are the beats that this node took for the leader since it last told it.
+	relayed   map[string]*schema.Beat
+	beatTo    string
+	beatState schema.NodeState
+	seekingAt time.Duration
 }
 
 func newRoutedState(options Options) *routedState {
-	r := &routedState{options: options.Routed, heats: map[string][]nodeHeat{}, dead: map[string]bool{}}
+	r := &routedState{options: options.Routed, heats: map[string][]nodeHeat{}, dead: map[string]bool{}, relayed: map[string]*schema.Beat{}}
 	r.resign(options)
 	return r
 }
--- a/internal/keys/keys.go
+++ b/internal/keys/keys.go
@@ -19,8 +19,8 @@
 	HoldMost = 6 * time.Second
 	// HoldShare (percent) of the greatest allowed hold is used, so that a shorter allowed one still leaves room.
 	HoldShare = 60
-	// RenewParts (parts) of a hold after one of which it is renewed: two renewals may fail.
-	RenewParts = 3
+	// RenewParts (parts) of a hold after one of which it is renewed: a failed one is sent again at once, several times within the rest.
+	RenewParts = 2
 	// LeaseTime (time) is how long after a majority's last word calls may be sent: below the shortest election wait of 600 ms.
 	LeaseTime = 500 * time.Millisecond
 	// GrantWait (time) bounds a grant's call: a far link and a busy machine.
--- a/internal/neighbours/neighbours.go
+++ b/internal/neighbours/neighbours.go
@@ -15,6 +15,15 @@
 	Self  *schema.Node
 	Seeds []string
 	Draw  func(int64) int64
+	Pace  Pace
+}
+
+// Pace is how often neighbours are probed and shuffled, and whether those of the own region are taken first; the zero value is the pace of the constants.
+type Pace struct {
+	Probe   time.Duration
+	Wait    time.Duration
+	Shuffle time.Duration
+	IsNear  bool
 }
 
 // Send is a message to an address.
@@ -44,6 +53,9 @@
 
 // New makes a node that knows only its seeds.
 func New(options Options) *Neighbours {
+	if options.Pace == (Pace{}) {
+		options.Pace = Pace{Probe: constants.ProbeEvery, Wait: constants.ProbeWait, Shuffle: constants.ShuffleEvery}
+	}
 	return &Neighbours{options: options, self: options.Self, active: map[string]*peer{}, passive: map[string]*schema.Node{}, suspects: map[string]time.Duration{}}
 }
 
@@ -115,30 +127,33 @@
 func (n *Neighbours) Tick(now time.Duration) []Send {
 	for _, id := range slices.Sorted(maps.Keys(n.active)) {
 		p := n.active[id]
-		if now-p.heard > constants.ProbeWait && now-p.since > constants.ProbeWait {
+		if now-p.heard > n.options.Pace.Wait && now-p.since > n.options.Pace.Wait {
 			n.suspects[id] = now
 			delete(n.active, id)
 			continue
 		}
-		if now-p.probedAt >= constants.ProbeEvery {
+		if now-p.probedAt >= n.options.Pace.Probe {
 			p.probedAt = now
 			n.serial++
 			n.send(p.node.Address, &schema.Frame{Body: &schema.Frame_Probe{Probe: &schema.Probe{Subject: id, Serial: n.serial}}})
 		}
 	}
 	for id, at := range n.suspects {
-		if now-at > 4*constants.ProbeWait {
+		if now-at > 4*n.options.Pace.Wait {
 			delete(n.suspects, id)
 		}
 	}
 	for len(n.active) < constants.ActiveView && len(n.passive) > 0 {
-		ids := slices.Sorted(maps.Keys(n.passive))
+		ids := n.candidates()
+		if len(ids) == 0 {
+			break
+		}
 		id := ids[n.options.Draw(int64(len(ids)))]
 		n.active[id] = &peer{node: n.passive[id], heard: now, since: now}
 		delete(n.passive, id)
 	}
 	if now >= n.shuffleAt {
-		n.shuffleAt = now + constants.ShuffleEvery
+		n.shuffleAt = now + n.options.Pace.Shuffle
 		to := n.options.Seeds[n.options.Draw(int64(len(n.options.Seeds)))]
 		if len(n.active) > 0 && n.options.Draw(4) > 0 {
 			ids := slices.Sorted(maps.Keys(n.active))
@@ -158,6 +173,28 @@
 	return sends
 }
 
+// candidates are those that may join the active view: of the own region while there are any, and then few of the others.
+func (n *Neighbours) candidates() []string {
+	ids := slices.Sorted(maps.Keys(n.passive))
+	if !n.options.Pace.IsNear {
+		return ids
+	}
+	near := slices.DeleteFunc(slices.Clone(ids), func(id string) bool { return n.passive[id].Region != n.self.Region })
+	if len(near) > 0 {
+		return near
+	}
+	far := 0
+	for _, p := range n.active {
+		if p.node.Region != n.self.Region {
+			far++
+		}
+	}
+	if far >= constants.FarNeighbours {
+		return nil
+	}
+	return ids
+}
+
 func (n *Neighbours) send(to string, frame *schema.Frame) { n.sends = append(n.sends, Send{to, frame}) }
 
 // Shuffle takes another node's sample and answers with one of its own.
--- a/internal/quorum/quorum.go
+++ b/internal/quorum/quorum.go
@@ -32,6 +32,14 @@
 	Items []*schema.LogItem
 	Draw  func(int64) int64
 	Whole func() *schema.Image
+	Pace  Pace
+}
+
+// Pace is how fast members hear of each other and vote anew; the zero value is the pace of the constants.
+type Pace struct {
+	Heartbeat      time.Duration
+	ElectionLeast  time.Duration
+	ElectionSpread time.Duration
 }
 
 // Ready is what the shell must do, in this order: sync, send, apply.
@@ -93,6 +101,9 @@
 
 // New restores a member from what its journal held.
 func New(now time.Duration, options Options) *Quorum {
+	if options.Pace == (Pace{}) {
+		options.Pace = Pace{constants.RaftHeartbeat, constants.RaftElectionLeast, constants.RaftElectionSpread}
+	}
 	q := &Quorum{options: options, id: options.ID, base: &schema.Members{}, others: map[string]*progress{}, sentAt: map[uint64]time.Duration{}, now: now}
 	if options.Hard != nil {
 		q.term, q.vote = options.Hard.Term, options.Hard.Vote
@@ -120,7 +131,7 @@
 func (q *Quorum) hard() *schema.HardState { return &schema.HardState{Term: q.term, Vote: q.vote} }
 
 func (q *Quorum) reset(now time.Duration) {
-	q.deadline = now + constants.RaftElectionLeast + time.Duration(q.options.Draw(int64(constants.RaftElectionSpread)))
+	q.deadline = now + q.options.Pace.ElectionLeast + time.Duration(q.options.Draw(int64(q.options.Pace.ElectionSpread)))
 }
 
 func (q *Quorum) last() uint64 { return q.first + uint64(len(q.items)) }
@@ -330,7 +341,7 @@
 	}
 	best := ""
 	for _, m := range q.Members().Voters {
-		if p := q.others[m.Id]; m.Id != q.id && p != nil && p.match >= q.commit && now-p.heard < constants.RaftElectionLeast &&
+		if p := q.others[m.Id]; m.Id != q.id && p != nil && p.match >= q.commit && now-p.heard < q.options.Pace.ElectionLeast &&
 			(best == "" || p.match > q.others[best].match) {
 			best = m.Id
 		}
@@ -347,15 +358,15 @@
 func (q *Quorum) Tick(now time.Duration) {
 	q.now = now
 	if q.role == Leader {
-		if now-q.beatAt >= constants.RaftHeartbeat {
+		if now-q.beatAt >= q.options.Pace.Heartbeat {
 			q.broadcast()
 		}
-		if q.passing != "" && now-q.passingAt > constants.RaftElectionLeast {
+		if q.passing != "" && now-q.passingAt > q.options.Pace.ElectionLeast {
 			q.passing = ""
 		}
 		heard := 0
 		for _, m := range q.Members().Voters {
-			if p := q.others[m.Id]; m.Id == q.id || p != nil && now-max(p.heard, q.electedAt) < 2*constants.RaftElectionLeast {
+			if p := q.others[m.Id]; m.Id == q.id || p != nil && now-max(p.heard, q.electedAt) < 2*q.options.Pace.ElectionLeast {
 				heard++
 			}
 		}
@@ -429,7 +440,7 @@
 		q.others[id] = p
 	}
 	if p.next <= q.first {
-		if q.now-p.imageAt < constants.RaftElectionLeast && p.imageAt > 0 {
+		if q.now-p.imageAt < q.options.Pace.ElectionLeast && p.imageAt > 0 {
 			q.send(&schema.Raft{Kind: schema.RaftKind_RAFT_APPEND, To: id, Round: q.round})
 			return
 		}
@@ -492,7 +503,7 @@
 	if m.To != q.id {
 		return
 	}
-	isLive := q.leader != "" && now-q.heard < constants.RaftElectionLeast
+	isLive := q.leader != "" && now-q.heard < q.options.Pace.ElectionLeast
 	switch m.Kind {
 	case schema.RaftKind_RAFT_PREVOTE:
 		isFit := m.Term > q.term && !isLive && q.role != Leader && q.isNewEnough(m)
