--- a/internal/constants/constants.go
+++ b/internal/constants/constants.go
@@ -150,7 +150,7 @@
 	RepeatAllowance = 10
 	// RepeatWindow (time) is the sliding window of the repeat budget.
 	RepeatWindow = 10 * time.Second
-	// RepeatMargin (time) shortens the window for first legs and lengthens it for repeats, since a leg arrives later than it was counted.
+	// RepeatMargin (time) lengthens the window of repeats, and is how long first legs after a repeat may still count before it, since a leg arrives later than it was counted.
 	RepeatMargin = 250 * time.Millisecond
 	// ColdRamp (time) is how long a new back end is held below its full share: from as many legs a second as it works on at once (each may take it a second) to twice that.
 	ColdRamp = 10 * time.Second
