--- a/internal/core/beats.go
+++ b/internal/core/beats.go
@@ -36,7 +36,7 @@
 
 // isFarDue tells whether no source of the own region has answered for so long that one elsewhere must do.
 func (r *routedState) isFarDue(now time.Duration, was string) bool {
-	if was == "" || r.seekingAt == 0 {
+	if r.seekingAt == 0 {
 		r.seekingAt = now
 	}
 	return now-r.seekingAt > constants.FarSourceAfter
@@ -128,6 +128,34 @@
 	}
 }
 
+// introduce gives the nodes that a node which asks should know: those of the views, and the disk machines of its own region.
+func (c *Core) introduce(to *schema.Node) []*schema.Node {
+	nodes := c.near.Known()
+	if c.routed == nil {
+		return nodes
+	}
+	nodes = append(nodes, c.self)
+	for _, id := range slices.Sorted(maps.Keys(c.view.Nodes)) {
+		if node := c.view.Nodes[id]; node.Disk && node.Region == to.GetRegion() && node.State == schema.NodeState_NODE_READY {
+			nodes = append(nodes, node)
+		}
+	}
+	return nodes
+}
+
+// seek asks around for disk machines while this node has no source of rows.
+func (c *Core) seek() {
+	if c.routed == nil || c.quorum != nil || c.source != "" && c.now-c.sourceAt <= constants.SourceSilent && c.view.System != "" || c.now-c.whoAt < constants.WhoEvery {
+		return
+	}
+	c.whoAt = c.now
+	to := c.options.Seeds[c.options.Draw(int64(len(c.options.Seeds)))]
+	if known := c.near.Known(); len(known) > 0 && c.options.Draw(2) == 0 {
+		to = known[c.options.Draw(int64(len(known)))].Address
+	}
+	c.send(to, &schema.Frame{Body: &schema.Frame_Who{Who: &schema.Who{Node: c.self}}})
+}
+
 // isReplaced tells that a newer process runs at a node's address, so that the node is no more.
 func (c *Core) isReplaced(node *schema.Node) bool {
 	for id, g := range c.nodes {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -321,7 +321,7 @@
 	case *schema.Frame_Who:
 		c.near.Learn(body.Who.Node)
 		c.send(f.Address, &schema.Frame{Body: &schema.Frame_WhoOutcome{WhoOutcome: &schema.WhoOutcome{System: c.system, Leader: c.leader,
-			Nodes: c.near.Known(), Founding: c.options.Restart}}})
+			Nodes: c.introduce(body.Who.Node), Founding: c.options.Restart}}})
 	case *schema.Frame_WhoOutcome:
 		c.near.Learn(body.WhoOutcome.Nodes...)
 		c.seeds[f.Address] = now
@@ -417,6 +417,7 @@
 	if now-c.beatAt >= c.routed.beatEvery() {
 		c.beat()
 	}
+	c.seek()
 	if c.quorum == nil && now-c.subAt >= constants.SubscribeEvery {
 		c.subscribe(now)
 	}
@@ -688,6 +689,9 @@
 	if age := time.Duration(d.AgeMs) * time.Millisecond; age < constants.SourceSilent || c.now-c.freshAt > constants.IsolatedAfter {
 		c.sourceAt = c.now
 	}
+	if c.routed != nil {
+		c.routed.seekingAt = 0
+	}
 	for _, prefix := range d.Whole {
 		c.hold(prefix, true)
 	}
--- a/internal/neighbours/neighbours.go
+++ b/internal/neighbours/neighbours.go
@@ -154,6 +154,9 @@
 	}
 	if now >= n.shuffleAt {
 		n.shuffleAt = now + n.options.Pace.Shuffle
+		if len(n.active)+len(n.passive) < constants.ShuffleSample {
+			n.shuffleAt = now + min(n.options.Pace.Shuffle, constants.ShuffleEvery)
+		}
 		to := n.options.Seeds[n.options.Draw(int64(len(n.options.Seeds)))]
 		if len(n.active) > 0 && n.options.Draw(4) > 0 {
 			ids := slices.Sorted(maps.Keys(n.active))
