--- a/internal/constants/constants.go
+++ b/internal/constants/constants.go
@@ -183,6 +183,8 @@
 	FrameQueue = 1024
 	// DialWait (time) bounds a connection to a peer.
 	DialWait = 800 * time.Millisecond
+	// FrameSilence (time) without word that sent bytes arrived after which a connection to a peer is given up and dialled anew: after a healed cut its own next try may be seconds away.
+	FrameSilence = time.Second
 	// FrameStall (time) is when a write to a peer that takes nothing is given up.
 	FrameStall = 2 * time.Second
 	// DocumentLimit (bytes) of an operator's configuration: an eighth of a frame, so its rows fit one record.
--- a/internal/core/lead.go
+++ b/internal/core/lead.go
@@ -22,14 +22,18 @@
 			c.releasedAt = map[uint64]time.Duration{}
 			c.pending = map[string]uint64{}
 		}
-		if c.routed != nil {
-			c.routed.resign(c.options)
+		if c.wasLeader {
+			c.log.Info("this machine leads no more", "term", c.quorum.Term())
+			if c.routed != nil {
+				c.routed.resign(c.options)
+			}
 		}
 		c.wasLeader = false
 		return
 	}
 	if !c.wasLeader {
 		c.wasLeader = true
+		c.log.Info("this machine leads", "term", c.quorum.Term(), "index", c.table.Version())
 		c.electedAt = c.now
 		c.sweep = nil
 		c.beat()
--- a/internal/standing/place.go
+++ b/internal/standing/place.go
@@ -143,10 +143,14 @@
 	for _, group := range view.Groups {
 		nextResidue = max(nextResidue, group.Residue+2)
 	}
+	made := map[string]*schema.Group{}
 	groups := &schema.Record{Kind: schema.RecordKind_RECORD_ROWS, Reason: "groups"}
 	residue := func(region string, districts []string) (uint32, bool) {
 		name := groupName(region, all[region], districts)
 		group := view.Groups[name]
+		if planned := made[name]; planned != nil {
+			return planned.Residue, true
+		}
 		if group != nil && slices.Equal(group.Districts, districts) {
 			return group.Residue, true
 		}
@@ -159,6 +163,7 @@
 			fresh.Residue = nextResidue
 			nextResidue += 2
 		}
+		made[name] = fresh
 		groups.Guards = append(groups.Guards, &schema.Guard{Key: image.GroupKey(name), Index: table.Get(image.GroupKey(name)).GetIndex()})
 		groups.Rows = append(groups.Rows, image.Put(image.GroupKey(name), fresh))
 		return fresh.Residue, true
--- /dev/null
+++ b/internal/standing/place_test.go
@@ -0,0 +1,385 @@
+package standing
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"testing"
+
+	"topazshed/internal/constants"
+	"topazshed/internal/image"
+	"topazshed/internal/schema"
+)
+
+type atlas struct {
+	t     *testing.T
+	table *image.Table
+}
+
+var districtsOf = map[string][]string{"hal": {"hal-a"}, "kol": {"kol-a", "kol-b"}, "tor": {"tor-a", "tor-b"}}
+
+func newAtlas(t *testing.T) *atlas {
+	t.Helper()
+	a := &atlas{t, image.NewTable()}
+	residue := uint32(0)
+	for i, region := range []string{"hal", "kol", "tor"} {
+		a.put(image.RegionKey(region), image.Put(image.RegionKey(region), &schema.Region{Name: region, Residue: uint32(2*i + 1)}))
+		for _, district := range districtsOf[region] {
+			a.put(image.DistrictKey(district), image.Put(image.DistrictKey(district), &schema.District{Name: district, Region: region, Residue: residue}))
+			a.node(district, schema.NodeState_NODE_READY)
+			a.backend("copper", district, schema.BackendState_BACKEND_READY)
+			residue += 2
+		}
+	}
+	a.settle()
+	return a
+}
+
+func (a *atlas) put(key string, row *schema.Row) {
+	a.t.Helper()
+	if _, err := a.table.Apply(a.table.Version()+1, &schema.Record{Kind: schema.RecordKind_RECORD_ROWS, Rows: []*schema.Row{row}}, Check); err != nil {
+		a.t.Fatalf("%s: %v", key, err)
+	}
+}
+
+func (a *atlas) node(district string, state schema.NodeState) {
+	key := image.NodeKey("node-" + district)
+	a.put(key, image.Put(key, &schema.Node{Id: "node-" + district, District: district, Region: district[:3], State: state}))
+}
+
+func (a *atlas) backend(service, district string, state schema.BackendState) {
+	key := image.BackendKey(service, service+"-"+district)
+	a.put(key, image.Put(key, &schema.Backend{Service: service, Instance: service + "-" + district, District: district, State: state}))
+}
+
+func (a *atlas) empty(district string, isEmptied bool) {
+	key := image.DistrictKey(district)
+	row := image.Decode[schema.District](a.table.Get(key))
+	row.Emptied = isEmptied
+	a.put(key, image.Put(key, row))
+}
+
+func (a *atlas) view() *image.View { return image.Compile(a.table) }
+
+// settle plans and applies until nothing is planned any more, and checks each step.
+func (a *atlas) settle() {
+	a.t.Helper()
+	for range 20 {
+		records := PlanPlaces(a.view(), a.table)
+		if len(records) == 0 {
+			a.check()
+			return
+		}
+		for _, record := range records {
+			if _, err := a.table.Apply(a.table.Version()+1, record, Check); err != nil {
+				a.t.Fatalf("%s: %v", record.Reason, err)
+			}
+		}
+	}
+	a.t.Fatal("the standing does not settle")
+}
+
+// check: each region's numbers resolve by their residue to one group of that region or, in one hop, to another region's.
+func (a *atlas) check() {
+	a.t.Helper()
+	view := a.view()
+	residues := map[uint32]string{}
+	for name, group := range view.Groups {
+		if was, isTaken := residues[group.Residue]; isTaken || group.Residue%2 != 0 {
+			a.t.Fatalf("group %s has residue %d, as %q", name, group.Residue, was)
+		}
+		residues[group.Residue] = name
+	}
+	for _, service := range []string{"copper", "nobody"} {
+		for region := range view.Regions {
+			place, err := Locate(view, service, region)
+			if err != nil {
+				continue
+			}
+			last := place.Trail[len(place.Trail)-1]
+			if len(place.Trail) > 2 || uint64(view.Groups[place.Group].Residue) != last%constants.GroupIncrement || view.Groups[place.Group].Region != place.Region {
+				a.t.Fatalf("%s in %s: place %+v", service, region, place)
+			}
+			if (place.Region == region) != (len(place.Trail) == 1) {
+				a.t.Fatalf("%s in %s: place %+v", service, region, place)
+			}
+		}
+	}
+}
+
+func (a *atlas) locate(service, region string) Place {
+	a.t.Helper()
+	place, err := Locate(a.view(), service, region)
+	if err != nil {
+		a.t.Fatal(err)
+	}
+	return place
+}
+
+func TestNextOf(t *testing.T) {
+	for _, c := range []struct {
+		old     uint64
+		residue uint32
+		want    uint64
+	}{{0, 0, 10000}, {0, 3, 10003}, {10002, 2, 20002}, {10002, 4, 10004}, {10004, 2, 20002}, {30005, 0, 40000}} {
+		if got := nextOf(c.old, c.residue); got != c.want || got <= c.old || got%constants.GroupIncrement != uint64(c.residue) {
+			t.Errorf("nextOf(%d, %d) = %d, want %d", c.old, c.residue, got, c.want)
+		}
+	}
+}
+
+func TestPlanPlaces(t *testing.T) {
+	lost, ready := schema.NodeState_NODE_LOST, schema.NodeState_NODE_READY
+	for _, c := range []struct {
+		name   string
+		turns  []func(*atlas)
+		region string
+		want   string
+	}{
+		{"at first the whole region", nil, "kol", "kol kol-a kol-b"},
+		{"a district is emptied", []func(*atlas){func(a *atlas) { a.empty("kol-a", true) }}, "kol", "kol:kol-b kol-b"},
+		{"and given back", []func(*atlas){func(a *atlas) { a.empty("kol-a", true) }, func(a *atlas) { a.empty("kol-a", false) }}, "kol", "kol kol-a kol-b"},
+		{"a district loses its machines", []func(*atlas){func(a *atlas) { a.node("kol-b", lost) }}, "kol", "kol:kol-a kol-a"},
+		{"and they come back", []func(*atlas){func(a *atlas) { a.node("kol-b", lost) }, func(a *atlas) { a.node("kol-b", ready) }}, "kol", "kol kol-a kol-b"},
+		{"stopping machines are not lost ones", []func(*atlas){func(a *atlas) { a.node("kol-b", schema.NodeState_NODE_STOPPING) }}, "kol", "kol kol-a kol-b"},
+		{"another region keeps its own", []func(*atlas){func(a *atlas) { a.empty("kol-a", true) }}, "tor", "tor tor-a tor-b"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			a := newAtlas(t)
+			was := a.locate("copper", c.region)
+			for _, turn := range c.turns {
+				turn(a)
+				a.settle()
+			}
+			place := a.locate("copper", c.region)
+			if got := place.Group + " " + strings.Join(place.Districts, " "); got != c.want || place.Region != c.region {
+				t.Fatalf("%q in %s, want %q", got, place.Region, c.want)
+			}
+			if place.Group != was.Group && place.Trail[0] <= was.Trail[0] || len(c.turns) == 2 && place.Trail[0] <= was.Trail[0]+constants.GroupIncrement/2 {
+				t.Fatalf("number %d after %d", place.Trail[0], was.Trail[0])
+			}
+		})
+	}
+}
+
+func TestPlanPlacesSendsAnEmptiedRegionElsewhere(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		turn func(*atlas)
+		back func(*atlas)
+	}{
+		{"both districts emptied", func(a *atlas) { a.empty("kol-a", true); a.empty("kol-b", true) }, func(a *atlas) { a.empty("kol-a", false); a.empty("kol-b", false) }},
+		{"all machines lost", func(a *atlas) {
+			a.node("kol-a", schema.NodeState_NODE_LOST)
+			a.node("kol-b", schema.NodeState_NODE_LOST)
+		}, func(a *atlas) {
+			a.node("kol-a", schema.NodeState_NODE_READY)
+			a.node("kol-b", schema.NodeState_NODE_READY)
+		}},
+		{"no back end of the service is ready", func(a *atlas) {
+			a.backend("copper", "kol-a", schema.BackendState_BACKEND_DRAINING)
+			a.backend("copper", "kol-b", schema.BackendState_BACKEND_DRAINING)
+		}, func(a *atlas) {
+			a.backend("copper", "kol-a", schema.BackendState_BACKEND_READY)
+			a.backend("copper", "kol-b", schema.BackendState_BACKEND_READY)
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			a := newAtlas(t)
+			was := a.locate("copper", "kol")
+			c.turn(a)
+			a.settle()
+			place := a.locate("copper", "kol")
+			if place.Region == "kol" || len(place.Trail) != 2 || place.Trail[0] <= was.Trail[0] {
+				t.Fatalf("%+v", place)
+			}
+			if residue := uint64(a.view().Regions[place.Region].Residue); place.Trail[0]%constants.GroupIncrement != residue {
+				t.Fatalf("number %d does not name region %s, residue %d", place.Trail[0], place.Region, residue)
+			}
+			c.back(a)
+			a.settle()
+			back := a.locate("copper", "kol")
+			if back.Region != "kol" || back.Group != was.Group || back.Trail[0] <= place.Trail[0] {
+				t.Fatalf("back: %+v after %+v", back, place)
+			}
+		})
+	}
+}
+
+func TestLocateFollowsOneHopOnly(t *testing.T) {
+	a := newAtlas(t)
+	view := a.view()
+	hop := func(from, to string) {
+		key := image.DefaultKey(from)
+		number := nextOf(view.Defaults[from].Number, view.Regions[to].Residue)
+		a.put(key, image.Put(key, &schema.Standing{Region: from, Number: number}))
+	}
+	hop("hal", "kol")
+	if place := a.locate("copper", "hal"); place.Region != "kol" || len(place.Trail) != 2 {
+		t.Fatalf("%+v", place)
+	}
+	hop("kol", "tor")
+	if place, err := Locate(a.view(), "copper", "hal"); err == nil {
+		t.Fatalf("two hops were followed to %+v", place)
+	}
+	if _, err := Locate(a.view(), "copper", "moon"); err == nil {
+		t.Fatal("a region without a row was resolved")
+	}
+}
+
+func TestCheckPlace(t *testing.T) {
+	a := newAtlas(t)
+	group := a.view().Groups["kol"]
+	number := a.view().Defaults["kol"].Number
+	for _, c := range []struct {
+		name string
+		row  *schema.Row
+		want string
+	}{
+		{"a group renumbered", image.Put(image.GroupKey("kol"), &schema.Group{Name: "kol", Region: "kol", Residue: group.Residue + 40}), "renumbered"},
+		{"a group moved to another region", image.Put(image.GroupKey("kol"), &schema.Group{Name: "kol", Region: "tor", Residue: group.Residue}), "renumbered"},
+		{"a group with an odd residue", image.Put(image.GroupKey("new"), &schema.Group{Name: "new", Residue: 7}), "even"},
+		{"a group with a residue above the increment", image.Put(image.GroupKey("new"), &schema.Group{Name: "new", Residue: constants.GroupIncrement}), "below the increment"},
+		{"a lower number", image.Put(image.DefaultKey("kol"), &schema.Standing{Region: "kol", Number: number - 1}), "only rise"},
+		{"the same number", image.Put(image.DefaultKey("kol"), &schema.Standing{Region: "kol", Number: number}), "only rise"},
+		{"a service's lower number", image.Put(image.StandingKey("copper", "", "kol"), &schema.Standing{Service: "copper", Region: "kol", Number: 0}), "only rise"},
+		{"a region renumbered", image.Put(image.RegionKey("kol"), &schema.Region{Name: "kol", Residue: 77}), "renumbered"},
+		{"more districts in a known group", image.Put(image.GroupKey("kol"), &schema.Group{Name: "kol", Region: "kol", Residue: group.Residue, Districts: []string{"kol-a", "kol-b", "kol-c"}}), ""},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			if err := Check(a.table, c.row); (err == nil) != (c.want == "") || err != nil && !strings.Contains(err.Error(), c.want) {
+				t.Fatalf("%v, want %q", err, c.want)
+			}
+		})
+	}
+}
+
+// A routed fleet's increment is chosen for 46 regions with 182 districts; each of them must get a residue.
+func TestCheckTakesAsManyDistrictsAsTheIncrementIsMadeFor(t *testing.T) {
+	table := image.NewTable()
+	for i := range uint32(46) {
+		name := fmt.Sprintf("r%02d", i)
+		if err := Check(table, image.Put(image.RegionKey(name), &schema.Region{Name: name, Residue: 2*i + 1})); err != nil {
+			t.Fatalf("region %d: %v", i, err)
+		}
+	}
+	for i := range uint32(182) {
+		name := fmt.Sprintf("d%03d", i)
+		if err := Check(table, image.Put(image.DistrictKey(name), &schema.District{Name: name, Region: "r00", Residue: 2 * i})); err != nil {
+			t.Fatalf("district %d: %v", i, err)
+		}
+	}
+}
+
+func TestPlaces(t *testing.T) {
+	a := newAtlas(t)
+	view := a.view()
+	for _, c := range []struct {
+		name    string
+		homes   []string
+		arrival string
+		first   string
+		count   int
+	}{
+		{"the arrival's own region comes first", nil, "kol", "kol", 3},
+		{"a home", []string{"kol", "tor"}, "tor", "tor", 2},
+		{"arrived outside its homes", []string{"kol"}, "tor", "kol", 1},
+		{"homes without machines", []string{"moon"}, "kol", "", 0},
+		{"one home without machines", []string{"moon", "hal"}, "kol", "hal", 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			for i := range 50 {
+				token := fmt.Sprint("token", i)
+				places := Places(view, "copper", c.homes, c.arrival, token)
+				if len(places) != c.count || c.count > 0 && places[0].Region != c.first {
+					t.Fatalf("%+v", places)
+				}
+				for _, place := range places {
+					if len(c.homes) > 0 && !slices.Contains(c.homes, place.Region) {
+						t.Fatalf("%s is no home", place.Region)
+					}
+				}
+				if again := Places(view, "copper", c.homes, c.arrival, token); fmt.Sprint(again) != fmt.Sprint(places) {
+					t.Fatalf("the same token gave %v and %v", places, again)
+				}
+			}
+		})
+	}
+	owners := map[string]int{}
+	for i := range 400 {
+		from := Places(view, "copper", []string{"hal", "kol"}, "tor", fmt.Sprint("token", i))
+		other := Places(view, "copper", []string{"hal", "kol"}, "moon", fmt.Sprint("token", i))
+		if from[0].Region != other[0].Region {
+			t.Fatalf("token %d has the owners %s and %s", i, from[0].Region, other[0].Region)
+		}
+		owners[from[0].Region]++
+	}
+	if owners["hal"] < 120 || owners["kol"] < 120 {
+		t.Fatalf("origins drawn by token are uneven: %v", owners)
+	}
+}
+
+func TestPlacesKeepHomesWhenTheHomeIsEmptied(t *testing.T) {
+	a := newAtlas(t)
+	a.empty("hal-a", true)
+	a.settle()
+	if places := Places(a.view(), "copper", []string{"hal"}, "hal", "x"); len(places) != 0 {
+		t.Fatalf("work at home in hal alone would go to %+v", places)
+	}
+	for _, place := range Places(a.view(), "copper", []string{"hal", "tor"}, "hal", "x") {
+		if place.Region != "tor" {
+			t.Fatalf("would go to %s", place.Region)
+		}
+	}
+}
+
+func TestPlanPlacesUnderRandomChange(t *testing.T) {
+	for seed := range uint64(20) {
+		random := rand.New(rand.NewPCG(seed, 7))
+		a := newAtlas(t)
+		numbers := map[string]uint64{}
+		residues := map[string]uint32{}
+		for range 60 {
+			region := []string{"hal", "kol", "tor"}[random.IntN(3)]
+			district := districtsOf[region][random.IntN(len(districtsOf[region]))]
+			switch random.IntN(4) {
+			case 0:
+				a.empty(district, true)
+			case 1:
+				a.empty(district, false)
+			case 2:
+				a.node(district, []schema.NodeState{schema.NodeState_NODE_READY, schema.NodeState_NODE_LOST}[random.IntN(2)])
+			case 3:
+				a.backend("copper", district, []schema.BackendState{schema.BackendState_BACKEND_READY, schema.BackendState_BACKEND_DRAINING}[random.IntN(2)])
+			}
+			a.settle()
+			view := a.view()
+			a.table.Each("", func(row *schema.Row) {
+				if s := image.Decode[schema.Standing](row); strings.Contains(row.Key, "standing/") {
+					if s.Number < numbers[row.Key] {
+						t.Fatalf("seed %d: %s fell to %d", seed, row.Key, s.Number)
+					}
+					numbers[row.Key] = s.Number
+				}
+			})
+			for name, group := range view.Groups {
+				if was, isKnown := residues[name]; isKnown && was != group.Residue {
+					t.Fatalf("seed %d: group %s renumbered", seed, name)
+				}
+				residues[name] = group.Residue
+			}
+			for name := range view.Regions {
+				hasOpen := false
+				for _, other := range districtsOf[name] {
+					d := view.Districts[other]
+					b := view.Services["copper"].Backend("copper-" + other)
+					hasOpen = hasOpen || !d.Emptied && view.Nodes["node-"+other].State != schema.NodeState_NODE_LOST && b.State == schema.BackendState_BACKEND_READY
+				}
+				if place, err := Locate(view, "copper", name); hasOpen && (err != nil || place.Region != name) {
+					t.Fatalf("seed %d: region %s has open districts with back ends, yet %+v, %v", seed, name, place, err)
+				}
+			}
+		}
+	}
+}
