--- a/internal/core/beats.go
+++ b/internal/core/beats.go
@@ -45,10 +45,11 @@
 // beatRouted reports to the relay, a disk machine of the own region; relays report to the leader what they were told since.
 func (c *Core) beatRouted(b *schema.Beat) {
 	r := c.routed
-	if c.serial%constants.WholeBeats != 1 && r.beatTo == c.beatTarget() && r.beatState == c.self.State {
+	to := c.beatTarget()
+	if c.serial%constants.WholeBeats != 1 && r.beatTo == to && r.beatState == c.self.State {
 		b.Node = &schema.Node{Id: c.self.Id, State: c.self.State, Incarnation: c.self.Incarnation, Disk: c.self.Disk}
 	}
-	r.beatTo, r.beatState = c.beatTarget(), c.self.State
+	r.beatTo, r.beatState = to, c.self.State
 	if c.quorum != nil && c.quorum.Role() == quorum.Leader {
 		c.noteBeat(b)
 		return
@@ -67,7 +68,7 @@
 	case c.leader != "" && c.leader != c.self.Address && c.now-c.leaderAt <= constants.NodeLostAfter:
 		return c.leader
 	}
-	return ""
+	return c.pick(func(node *schema.Node) bool { return node.Disk && node.Address != c.self.Address })
 }
 
 func (c *Core) takeBeatRouted(f *schema.Frame, b *schema.Beat) {
