--- a/internal/constants/constants.go
+++ b/internal/constants/constants.go
@@ -200,6 +200,10 @@
 	JournalDiskParts = 64
 	// ImageFileBytes (bytes) of one of the two preallocated image areas.
 	ImageFileBytes = 16 << 20
+	// FullDiskPause (time) between two tries to write to a full disk.
+	FullDiskPause = 50 * time.Millisecond
+	// FullDiskMost (time) that a full disk is waited out before its machine gives up; the others' disks carry the log meanwhile.
+	FullDiskMost = 20 * time.Second
 	// SlowSync (time) of one sync at which a leader hands over.
 	SlowSync = 800 * time.Millisecond
 
--- a/internal/journal/disk.go
+++ b/internal/journal/disk.go
@@ -6,6 +6,9 @@
 	"os"
 	"path/filepath"
 	"syscall"
+	"time"
+
+	"topazshed/internal/constants"
 )
 
 // Folder is a Disk in one data folder.
@@ -21,6 +24,26 @@
 
 func (a fileArea) Size() int64 { return a.size }
 
+// WriteAt waits out a full disk for a while: what was not written may be written again, and this task has no other work.
+func (a fileArea) WriteAt(p []byte, at int64) (int, error) {
+	return writeThrough(a.File, p, at, func() { time.Sleep(constants.FullDiskPause) })
+}
+
+func writeThrough(file interface {
+	WriteAt(p []byte, at int64) (int, error)
+}, p []byte, at int64, rest func()) (int, error) {
+	done := 0
+	for waited := time.Duration(0); ; waited += constants.FullDiskPause {
+		n, err := file.WriteAt(p[done:], at+int64(done))
+		done += n
+		isFull := errors.Is(err, syscall.ENOSPC) || errors.Is(err, syscall.EDQUOT)
+		if err == nil || !isFull || waited >= constants.FullDiskMost {
+			return done, err
+		}
+		rest()
+	}
+}
+
 // OpenFolder makes the folder and locks it against a second process.
 func OpenFolder(path string) (*Folder, error) {
 	if err := os.MkdirAll(path, 0o750); err != nil {
