--- a/internal/constants/constants.go
+++ b/internal/constants/constants.go
@@ -219,9 +219,9 @@
 	// HeatBuckets (buckets) in which a node notes the work of a keyed service: 64 keys each, fine enough to divide a hot range; beats carry only those that had work.
 	HeatBuckets = 1024
 	// HeatEvery (time) is how often a beat carries them.
-	HeatEvery = time.Second
+	HeatEvery = 600 * time.Millisecond
 	// HeatReports (reports) of a node are averaged: fewer follow chance, more come late.
-	HeatReports = 3
+	HeatReports = 5
 	// HeatCap (times) the usual time is the most that one request adds to the heat of its key.
 	HeatCap = 2
 	// UsualStep (parts) is how far the usual time, a running median, moves at each request: a twentieth.
@@ -302,10 +302,12 @@
 	RoutedElectionSpread = 600 * time.Millisecond
 	// RoutedBeat (time) is how often a routed fleet's nodes report to their relay, and relays to the leader: three in the silence after which a node is lost.
 	RoutedBeat = 700 * time.Millisecond
+	// RoutedLostAfter (time) is the silence after which the leader of a routed fleet takes a node as lost: two beats, each through a relay.
+	RoutedLostAfter = 2100 * time.Millisecond
 	// RoutedProbe (time) is the probing period of one neighbour in a routed fleet.
 	RoutedProbe = 700 * time.Millisecond
 	// RoutedProbeWait (time) is the silence after which it is suspected.
-	RoutedProbeWait = 1800 * time.Millisecond
+	RoutedProbeWait = 1500 * time.Millisecond
 	// RoutedShuffle (time) is how often views are shuffled in a routed fleet.
 	RoutedShuffle = 4 * time.Second
 	// WholeBeats (beats) one of which tells a node's addresses; the others only its state.
--- a/internal/core/beats.go
+++ b/internal/core/beats.go
@@ -34,6 +34,13 @@
 	return constants.RoutedBeat
 }
 
+func (r *routedState) lostAfter() time.Duration {
+	if r == nil {
+		return constants.NodeLostAfter
+	}
+	return constants.RoutedLostAfter
+}
+
 // isFarDue tells whether no source of the own region has answered for so long that one elsewhere must do.
 func (r *routedState) isFarDue(now time.Duration, was string) bool {
 	if r.seekingAt == 0 {
--- a/internal/core/lead.go
+++ b/internal/core/lead.go
@@ -193,7 +193,8 @@
 			heard = max(heard, g.heard)
 		}
 		silence := c.now - heard
-		isLost := silence > constants.NodeLostAfter && witnesses[id] >= constants.SuspectWitnesses || silence > 2*constants.NodeLostAfter
+		lostAfter := c.routed.lostAfter()
+		isLost := silence > lostAfter && witnesses[id] >= constants.SuspectWitnesses || silence > 2*lostAfter
 		isLapsed := silence > constants.GrantTime+constants.GrantMargin+constants.ClaimWindow
 		if c.routed != nil && !row.Disk && c.isReplaced(row) {
 			put(image.NodeKey(id), image.Gone(image.NodeKey(id)))
--- a/internal/keys/keys.go
+++ b/internal/keys/keys.go
@@ -15,20 +15,20 @@
 const (
 	// LastKey (key) is the greatest key of a service.
 	LastKey = 65535
-	// HoldMost (time) is the longest hold given: three renewals fit into it, and a lost holder's keys are back in 8 s.
-	HoldMost = 6 * time.Second
+	// HoldMost (time) is the longest hold given: a change of leader fits between two renewals, and a lost holder's keys are back in 6 s.
+	HoldMost = 4500 * time.Millisecond
 	// HoldShare (percent) of the greatest allowed hold is used, so that a shorter allowed one still leaves room.
 	HoldShare = 60
 	// RenewParts (parts) of a hold after one of which it is renewed: a failed one is sent again at once, several times within the rest.
-	RenewParts = 2
+	RenewParts = 3
 	// LeaseTime (time) is how long after a majority's last word calls may be sent: below the shortest election wait of 600 ms.
 	LeaseTime = 500 * time.Millisecond
 	// GrantWait (time) bounds a grant's call: a far link and a busy machine.
 	GrantWait = 600 * time.Millisecond
 	// ReleaseWait (time) bounds a release's call, which waits for running work.
 	ReleaseWait = 5 * time.Second
-	// ArrivalMargin (time) is how long after its caller gave up a call may still arrive: what lies in a slow link.
-	ArrivalMargin = time.Second
+	// ArrivalMargin (time) is how long after its caller gave up a call may still arrive: what is on its way when the caller resets its connection.
+	ArrivalMargin = 300 * time.Millisecond
 	// HoldMargin (time) is added to every hold for the steps of clocks and of this machine.
 	HoldMargin = 100 * time.Millisecond
 	// ClockSlow (percent) is how much slower a back end's clock may run.
@@ -43,8 +43,10 @@
 	RetryPause = 200 * time.Millisecond
 	// LayoutSettle (time) is how long the set of back ends must have stood still before the first layout, so that one that is just starting up has its part.
 	LayoutSettle = 1500 * time.Millisecond
-	// UnreachableAfter (time) without any taken grant a holder is given up: three calls.
-	UnreachableAfter = 2 * time.Second
+	// UnreachableAfter (time) without any taken grant or probe a holder is given up: two calls.
+	UnreachableAfter = 1300 * time.Millisecond
+	// ProbeWait (time) bounds a probe: two ways over the longest link and a busy machine.
+	ProbeWait = 400 * time.Millisecond
 	// UnreachableKept (time) is how long a given-up back end gets no keys: longer than a hold, so that it does not get its own back at once.
 	UnreachableKept = 10 * time.Second
 	// LeaveParts (parts) are what a leaving holder's keys are released in, one after the other.
@@ -62,7 +64,7 @@
 	// IdleShare (parts of the mean) is the load below which a back end is given keys.
 	IdleShare = 0.5
 	// UnevenFor (time) is how long the load must be uneven before keys move, and between two rounds of moves: a report of heat.
-	UnevenFor = 700 * time.Millisecond
+	UnevenFor = 400 * time.Millisecond
 	// MovesMost (moves) of a service are under way at once for the sake of load, at the least.
 	MovesMost = 2
 	// MovePart (parts of the mean) is the least heat worth a move.
@@ -106,6 +108,9 @@
 const (
 	Grant Kind = iota + 1
 	Release
+	// Probe only asks whether the back end can be reached; it gives nothing. After a grant without answer it goes before the next one,
+	// so that a holder that is out of reach is not given its keys longer and longer.
+	Probe
 )
 
 // Call is to be sent to a back end; Wait counts from the step that gave it, and a call not yet sent by then must not be sent.
@@ -210,6 +215,7 @@
 	next      time.Duration
 	isWaiting bool
 	isDone    bool
+	isSilent  bool
 	refusals  uint64
 	isBarred  bool
 	handover  string
@@ -351,6 +357,16 @@
 	}
 	progress := m.grants[id]
 	progress.isWaiting = false
+	if p.call.Kind == Probe {
+		progress.next = now + RetryPause
+		switch a.Outcome {
+		case Done:
+			progress.isSilent, progress.next = false, now
+		case Failed:
+			m.downAt[p.call.Instance] = p.sent
+		}
+		return
+	}
 	p.exposure.isOpen = false
 	p.exposure.until = now + lapse(p.call.Hold)
 	switch a.Outcome {
@@ -368,6 +384,7 @@
 		m.downAt[p.call.Instance] = p.sent
 	default:
 		p.exposure.until += ArrivalMargin
+		progress.isSilent = true
 	}
 	progress.next = now + RetryPause
 	if _, isKnown := m.failedAt[p.call.Instance]; !isKnown && a.Outcome != Refused {
--- a/internal/keys/step.go
+++ b/internal/keys/step.go
@@ -303,6 +303,10 @@
 		return
 	}
 	p.isWaiting = true
+	if p.isSilent {
+		s.send(Call{Kind: Probe, Instance: r.Instance, Address: backend.Address, First: r.First, Last: r.Last, Fence: r.Fence, Wait: ProbeWait}, nil)
+		return
+	}
 	e := &exposure{service: s.service.Name, instance: r.Instance, address: backend.Address, fence: r.Fence, ranges: [][2]uint32{{r.First, r.Last}}, sent: s.f.Now, isOpen: true}
 	s.g.exposures = append(s.g.exposures, e)
 	s.send(Call{Kind: Grant, Instance: r.Instance, Address: backend.Address, First: r.First, Last: r.Last, Fence: r.Fence, Hold: s.g.hold, Handover: r.Handover, Wait: GrantWait}, e)
--- a/internal/keys/world_test.go
+++ b/internal/keys/world_test.go
@@ -216,6 +216,8 @@
 		case h == nil:
 			reply(Answer{Outcome: Failed})
 		case h.cutUntil > w.now:
+		case call.Kind == Probe:
+			reply(Answer{Outcome: Done})
 		case call.Kind == Grant:
 			reply(w.take(h, call))
 		default:
