--- a/internal/constants/constants.go
+++ b/internal/constants/constants.go
@@ -239,11 +239,17 @@
 	// UnknownDelay (parts of the aim) is taken for a back end that has served nothing yet.
 	UnknownDelay = 0.25
 	// DistrictPenalty (parts of the aim) is what a back end in another district must be quicker by: bytes between districts are paid for.
-	DistrictPenalty = 0.5
+	DistrictPenalty = 0.2
 	// RegionPenalty (parts of the aim) is the same for another region: eight times as dear.
-	RegionPenalty = 1.5
+	RegionPenalty = 1.2
 	// ColdPenalty (times) makes a cold back end dearer: it works at half its pace.
 	ColdPenalty = 2.0
+	// StrainBelow (parts) is how much longer a back end takes at full use than idle, before it queues.
+	StrainBelow = 0.3
+	// StrainFrom (parts of its slots) is the use from which requests begin to queue: the estimate is rough.
+	StrainFrom = 0.8
+	// StrainAbove (parts) is how much longer it takes for each part of its slots in use above that.
+	StrainAbove = 2.0
 	// CostJitter (parts) is drawn on top of a cost, so that nodes do not all choose the same.
 	CostJitter = 0.1
 	// FailuresToRest (failures) in a row after which a back end rests.
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -111,6 +111,18 @@
 	return Choice{Backend: backend, Place: places[at]}
 }
 
+// strain is how much longer a back end takes for what it seems to have in flight: the other nodes near it are taken to send as much as this one.
+func (s Situation) strain(c candidate) float64 {
+	sharers := 0
+	for _, node := range s.View.Nodes {
+		if node.District == s.Self.District && node.State == schema.NodeState_NODE_READY {
+			sharers++
+		}
+	}
+	use := float64(c.reading.InFlight*max(1, sharers)) / float64(max(1, c.backend.Slots))
+	return 1 + constants.StrainBelow*use + constants.StrainAbove*max(0, use-constants.StrainFrom)
+}
+
 func (s Situation) chooseFree(service *image.Service, places []standing.Place) Choice {
 	refusal := RefusalBusy
 	var best *candidate
@@ -126,8 +138,7 @@
 			if delay == 0 {
 				delay = aim * constants.UnknownDelay
 			}
-			slots := float64(max(1, backend.Slots))
-			c.cost = delay * (1 + float64(c.reading.InFlight)/slots)
+			c.cost = delay * s.strain(c)
 			switch {
 			case rank > 0:
 				c.cost += aim * constants.RegionPenalty * float64(rank)
