--- a/cmd/topazshed/platform.go
+++ b/cmd/topazshed/platform.go
@@ -52,6 +52,7 @@
 	if file.Limits.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(file.Limits.MemoryMB * (1 << 20) * constants.MemoryShare))
 	}
+	debug.SetGCPercent(constants.GarbagePercent)
 	log := slog.New(slog.NewJSONHandler(os.Stderr, &slog.HandlerOptions{Level: &c.level}))
 	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer cancel()
--- a/internal/constants/constants.go
+++ b/internal/constants/constants.go
@@ -340,6 +340,8 @@
 	ListPagesMost = 2000
 	// RoutesDocumentLimit (bytes) of a routed fleet's configuration: half a frame.
 	RoutesDocumentLimit = 8 << 20
+	// GarbagePercent (percent) of the live heap may be garbage before it is collected: memory at its peak is dearer than the little processor time.
+	GarbagePercent = 40
 	// MemoryShare (parts) of a machine's memory the runtime may take before it collects harder.
 	MemoryShare = 0.6
 )
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -133,6 +133,16 @@
 // IsFit tells whether a node has a configuration: its own disk's after a start, until it is told of a newer one.
 func IsFit(local *core.Local) bool { return local.View.Head.GetVersion() > 0 }
 
+func headerBytes(r *http.Request) int {
+	size := len(r.Method) + len(r.RequestURI) + len(r.Proto) + len(r.Host) + len("  \r\nHost: \r\n\r\n")
+	for name, values := range r.Header {
+		for _, value := range values {
+			size += len(name) + len(value) + len(": \r\n")
+		}
+	}
+	return size
+}
+
 func hostOf(r *http.Request) string {
 	host := r.Host
 	if name, _, err := net.SplitHostPort(host); err == nil {
@@ -161,6 +171,11 @@
 		g.tell(w, id, http.StatusServiceUnavailable, string(RefusalNotReady), "this node does not know the newest state yet; another node may", constants.RefuseAfterMove)
 		return
 	}
+	if limit := local.View.Limits.GetHeaderBytes(); limit > 0 && headerBytes(r) > int(limit) {
+		w.Header().Set("Connection", "close")
+		g.tell(w, id, http.StatusRequestHeaderFieldsTooLarge, "oversize", fmt.Sprintf("the head is above the limit of %d bytes; send less", limit), 0)
+		return
+	}
 	if len(ids) != 1 || id == "" {
 		w.Header().Set("Connection", "close")
 		g.tell(w, "", http.StatusBadRequest, "bad-attempt", "send one "+names.Attempt, 0)
