--- a/internal/constants/constants.go
+++ b/internal/constants/constants.go
@@ -322,6 +322,12 @@
 	FarSourceAfter = 2500 * time.Millisecond
 	// ListEvery (time) is the pause between reads of a routed fleet's list: draining ones are known well within 2.5 s.
 	ListEvery = 400 * time.Millisecond
+	// ListPageEvery (time) is what each page of a read adds to the pause after it: calls are paid for.
+	ListPageEvery = 150 * time.Millisecond
+	// ListEveryMost (time) is the longest such pause: with the read, a commit and its spread, draining ones are still known within 2.5 s.
+	ListEveryMost = 1100 * time.Millisecond
+	// ListRateShare (parts) of the calls that the list allows are used at most; operators and a leader before may need the others.
+	ListRateShare = 0.7
 	// ListCall (time) bounds one page's call.
 	ListCall = 700 * time.Millisecond
 	// TendEvery (time) is how often a gateway drops idle connections and unknown back ends.
--- a/internal/node/routed.go
+++ b/internal/node/routed.go
@@ -21,8 +21,10 @@
 // Bounds are a deployment's figures that a routed fleet must keep.
 type Bounds struct {
 	gateway.Bounds
-	HoldMost    time.Duration
-	ListLag     time.Duration
+	HoldMost time.Duration
+	ListLag  time.Duration
+	// ListRate is how many calls a second the list takes from all nodes together; 0 is no bound.
+	ListRate    float64
 	StopGrace   time.Duration
 	ResolveMost time.Duration
 }
@@ -31,8 +33,8 @@
 type Seam struct {
 	Names  gateway.Names
 	Bounds Bounds
-	// List reads the platform's whole list once.
-	List func(ctx context.Context) ([]roster.Listed, error)
+	// List reads the platform's whole list once, and tells how many calls it took.
+	List func(ctx context.Context) ([]roster.Listed, int, error)
 	// Grant carries out one call to a back end; the error tells why there was no answer.
 	Grant func(ctx context.Context, call keys.Call) (keys.Answer, error)
 	// Serve gives the handlers of a node by the addresses that they listen on.
@@ -135,7 +137,8 @@
 			continue
 		}
 		listing := roster.Listing{BegunAt: n.Now(), IsWhole: true}
-		items, err := n.seam.List(n.context)
+		items, calls, err := n.seam.List(n.context)
+		pause = n.listPause(calls)
 		if err != nil {
 			listing.IsWhole, listing.Reason = false, err.Error()
 		}
@@ -144,6 +147,15 @@
 	}
 }
 
+// listPause is how long to wait after a read that took so many calls: a long list is read less often, since calls are paid for and bounded.
+func (n *Node) listPause(calls int) time.Duration {
+	pause := max(constants.ListEvery, min(time.Duration(calls)*constants.ListPageEvery, constants.ListEveryMost))
+	if rate := n.seam.Bounds.ListRate; rate > 0 {
+		pause = max(pause, time.Duration(float64(calls)/(rate*constants.ListRateShare)*float64(time.Second)))
+	}
+	return pause
+}
+
 func (n *Node) grant(call core.GrantCall) {
 	n.tasks.Go(func() {
 		ctx, cancel := context.WithTimeout(n.context, call.Wait)
--- a/internal/node/routed_test.go
+++ b/internal/node/routed_test.go
@@ -108,11 +108,11 @@
 	grants  atomic.Int64
 }
 
-func (p *platform) list(context.Context) ([]roster.Listed, error) {
+func (p *platform) list(context.Context) ([]roster.Listed, int, error) {
 	p.reads.Add(1)
 	p.lock.Lock()
 	defer p.lock.Unlock()
-	return append([]roster.Listed(nil), p.items...), nil
+	return append([]roster.Listed(nil), p.items...), 1, nil
 }
 
 func (p *platform) grant(_ context.Context, call keys.Call) (keys.Answer, error) {
