--- a/internal/core/beats.go
+++ b/internal/core/beats.go
@@ -173,3 +173,44 @@
 	}
 	return false
 }
+
+// isFounder tells whether this machine is the one that may found a system: the lowest seed with a disk, or who the lowest seed named because no seed has one.
+func (c *Core) isFounder(seeds []string) bool {
+	if c.routed == nil {
+		return seeds[0] == c.self.Address
+	}
+	for _, seed := range seeds {
+		if seed == c.self.Address {
+			return true
+		}
+		hasDisk, isKnown := c.routed.disks[seed]
+		if !isKnown || hasDisk {
+			return false
+		}
+	}
+	return c.routed.founder == c.self.Address
+}
+
+// nominate names the machine that shall found the system, once, if this is the lowest of the seeds and none of them has a disk.
+func (c *Core) nominate() string {
+	r := c.routed
+	if r == nil || c.system != "" || c.options.Rejoin || c.self.Disk || c.self.Address != slices.Min(c.options.Seeds) {
+		return ""
+	}
+	for _, seed := range c.options.Seeds {
+		if hasDisk, isKnown := r.disks[seed]; seed != c.self.Address && (!isKnown || hasDisk) {
+			return ""
+		}
+	}
+	if r.bornAt == 0 {
+		r.bornAt = c.now
+	}
+	if r.founder == "" && c.now-r.bornAt >= constants.FoundSettle {
+		for _, node := range c.near.Known() {
+			if node.Disk && (r.founder == "" || node.Address < r.founder) {
+				r.founder = node.Address
+			}
+		}
+	}
+	return r.founder
+}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -322,11 +322,17 @@
 	case *schema.Frame_Who:
 		c.near.Learn(body.Who.Node)
 		c.send(f.Address, &schema.Frame{Body: &schema.Frame_WhoOutcome{WhoOutcome: &schema.WhoOutcome{System: c.system, Leader: c.leader,
-			Nodes: c.introduce(body.Who.Node), Founding: c.options.Restart}}})
+			Nodes: c.introduce(body.Who.Node), Founding: c.options.Restart, Disk: c.self.Disk, Founder: c.nominate()}}})
 	case *schema.Frame_WhoOutcome:
 		c.near.Learn(body.WhoOutcome.Nodes...)
 		c.seeds[f.Address] = now
 		c.empties[f.Address] = body.WhoOutcome.System == ""
+		if c.routed != nil {
+			c.routed.disks[f.Address] = body.WhoOutcome.Disk
+			if body.WhoOutcome.Founder != "" && f.Address == slices.Min(c.options.Seeds) {
+				c.routed.founder = body.WhoOutcome.Founder
+			}
+		}
 		if c.system == "" && body.WhoOutcome.System != "" {
 			c.adopt(body.WhoOutcome.System)
 		}
@@ -442,7 +448,7 @@
 		return
 	}
 	seeds := slices.Sorted(slices.Values(c.options.Seeds))
-	if seeds[0] != c.self.Address {
+	if !c.isFounder(seeds) {
 		return
 	}
 	for _, seed := range seeds {
--- a/internal/core/routed.go
+++ b/internal/core/routed.go
@@ -53,10 +53,14 @@
 	beatTo    string
 	beatState schema.NodeState
 	seekingAt time.Duration
+	// disks are the seeds that answered, and whether they have one; founder is who shall found the system if none has.
+	disks   map[string]bool
+	founder string
+	bornAt  time.Duration
 }
 
 func newRoutedState(options Options) *routedState {
-	r := &routedState{options: options.Routed, heats: map[string][]nodeHeat{}, dead: map[string]bool{}, relayed: map[string]*schema.Beat{}}
+	r := &routedState{options: options.Routed, heats: map[string][]nodeHeat{}, dead: map[string]bool{}, relayed: map[string]*schema.Beat{}, disks: map[string]bool{}}
 	r.resign(options)
 	return r
 }
