--- a/internal/constants/constants.go
+++ b/internal/constants/constants.go
@@ -196,8 +196,12 @@
 	JournalFiles = 4
 	// JournalFileBytes (bytes) of one preallocated file: a put of the largest document fits four times.
 	JournalFileBytes = 8 << 20
-	// JournalDiskParts (parts) of a bounded disk: one for each ring file, two for each image area; seven eighths stay free.
-	JournalDiskParts = 64
+	// JournalDiskParts (parts) of a bounded disk: one for each ring file, two for each image area; three quarters stay free.
+	JournalDiskParts = 32
+	// PackFrom (bytes) is the payload above which a journal's record is packed: whole configurations shrink tenfold, small records are not worth the time.
+	PackFrom = 16 << 10
+	// JournalMargin (bytes) of a ring file are left beside its largest record: its head and the state that goes along.
+	JournalMargin = 8 << 10
 	// ImageFileBytes (bytes) of one of the two preallocated image areas.
 	ImageFileBytes = 16 << 20
 	// FullDiskPause (time) between two tries to write to a full disk.
--- a/internal/core/beats.go
+++ b/internal/core/beats.go
@@ -69,10 +69,13 @@
 }
 
 func (c *Core) beatTarget() string {
+	isLeaderKnown := c.leader != "" && c.leader != c.self.Address && c.now-c.leaderAt <= constants.NodeLostAfter
 	switch {
+	case c.view.Nodes[c.self.Id] == nil && c.leader != "" && c.leader != c.self.Address && c.serial%2 == 0:
+		return c.leader
 	case c.quorum == nil && c.source != "" && c.now-c.sourceAt <= constants.SourceSilent:
 		return c.source
-	case c.leader != "" && c.leader != c.self.Address && c.now-c.leaderAt <= constants.NodeLostAfter:
+	case isLeaderKnown:
 		return c.leader
 	}
 	return c.pick(func(node *schema.Node) bool { return node.Disk && node.Address != c.self.Address })
@@ -164,14 +167,16 @@
 	c.send(to, &schema.Frame{Body: &schema.Frame_Who{Who: &schema.Who{Node: c.self}}})
 }
 
-// isReplaced tells that a newer process runs at a node's address, so that the node is no more.
-func (c *Core) isReplaced(node *schema.Node) bool {
-	for id, g := range c.nodes {
-		if id != node.Id && g.node.GetAddress() == node.Address && g.node.Incarnation > node.Incarnation {
-			return true
-		}
+// newestAt is the newest incarnation that was heard of at each address: an older one there is no more.
+func (c *Core) newestAt() map[string]uint64 {
+	if c.routed == nil {
+		return nil
+	}
+	newest := make(map[string]uint64, len(c.nodes))
+	for _, g := range c.nodes {
+		newest[g.node.GetAddress()] = max(newest[g.node.GetAddress()], g.node.GetIncarnation())
 	}
-	return false
+	return newest
 }
 
 // isFounder tells whether this machine is the one that may found a system: the lowest seed with a disk, or who the lowest seed named because no seed has one.
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -776,6 +776,9 @@
 			l.FreshAt = c.quorum.Contact()
 		}
 	}
+	if c.routed != nil {
+		return l
+	}
 	count := 0
 	var instants []time.Duration
 	for id, node := range c.view.Nodes {
--- a/internal/core/lead.go
+++ b/internal/core/lead.go
@@ -145,6 +145,7 @@
 		regions[r.Name] = true
 		nextRegion = max(nextRegion, r.Residue+2)
 	}
+	newest := c.newestAt()
 	for _, id := range slices.Sorted(maps.Keys(c.nodes)) {
 		g := c.nodes[id]
 		row := c.view.Nodes[id]
@@ -168,7 +169,7 @@
 			put(image.DistrictKey(g.node.District), image.Put(image.DistrictKey(g.node.District), &schema.District{Name: g.node.District, Region: g.node.Region, Residue: nextDistrict}))
 			nextDistrict += 2
 		}
-		if c.routed != nil && c.isReplaced(g.node) {
+		if c.routed != nil && newest[g.node.Address] > g.node.Incarnation {
 			continue
 		}
 		fresh := proto.Clone(g.node).(*schema.Node)
@@ -196,7 +197,7 @@
 		lostAfter := c.routed.lostAfter()
 		isLost := silence > lostAfter && witnesses[id] >= constants.SuspectWitnesses || silence > 2*lostAfter
 		isLapsed := silence > constants.GrantTime+constants.GrantMargin+constants.ClaimWindow
-		if c.routed != nil && !row.Disk && c.isReplaced(row) {
+		if c.routed != nil && !row.Disk && newest[row.Address] > row.Incarnation {
 			put(image.NodeKey(id), image.Gone(image.NodeKey(id)))
 			delete(c.nodes, id)
 		} else if isLapsed && row.State == schema.NodeState_NODE_STOPPING && !row.Disk || silence > time.Minute && !row.Disk {
--- a/internal/core/routed.go
+++ b/internal/core/routed.go
@@ -23,6 +23,8 @@
 	ListLag time.Duration
 	// ColdBearable is how many requests a second the whole fleet may send to a cold back end.
 	ColdBearable func(*schema.ServicePolicy) int
+	// Fits tells whether a record can be logged; nil is always.
+	Fits func(*schema.Record) bool
 	// Heat gives the requests by key since it was last asked.
 	Heat func(since time.Duration) []*schema.KeyHeat
 }
@@ -212,7 +214,13 @@
 		c.reply(w, &schema.OperatorOutcome{Decline: schema.DeclineKind_DECLINE_INVALID, Version: head.GetVersion(), Message: "the configuration is declined whole; nothing changed", Faults: faults})
 		return
 	}
-	c.submit(w, routes.Plan(c.table, config, digest[:]), config.Version)
+	record := routes.Plan(c.table, config, digest[:])
+	if fit := c.routed.options.Fits; fit != nil && !fit(record) {
+		c.reply(w, &schema.OperatorOutcome{Decline: schema.DeclineKind_DECLINE_OVERSIZE, Version: head.GetVersion(),
+			Message: "the change does not fit this system's log; put it in several smaller changes, or give the voters larger disks"})
+		return
+	}
+	c.submit(w, record, config.Version)
 }
 
 func (c *Core) resumeDeferred() {
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -3,10 +3,12 @@
 
 import (
 	"bytes"
+	"compress/flate"
 	"encoding/binary"
 	"errors"
 	"fmt"
 	"hash/crc32"
+	"io"
 	"sort"
 
 	"google.golang.org/protobuf/proto"
@@ -50,6 +52,37 @@
 	return options
 }
 
+// Fits tells whether a record, packed, fits a ring file.
+func (o Options) Fits(record *schema.Record) bool {
+	size := int64(proto.Size(record))
+	if size > constants.FrameLimit-constants.JournalMargin {
+		return false
+	}
+	if size > o.FileBytes-constants.JournalMargin {
+		payload, err := proto.Marshal(record)
+		if err != nil {
+			return false
+		}
+		size = int64(len(pack(payload)))
+	}
+	return size <= o.FileBytes-constants.JournalMargin
+}
+
+func pack(text []byte) []byte {
+	var packed bytes.Buffer
+	writer, err := flate.NewWriter(&packed, flate.BestSpeed)
+	if err != nil {
+		panic(fmt.Sprintf("pack: %v", err))
+	}
+	writer.Write(text)
+	writer.Close()
+	return packed.Bytes()
+}
+
+func unpack(text []byte) ([]byte, error) {
+	return io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(text)), 64*constants.FrameLimit))
+}
+
 // CorruptError says that a record before the tail is bad, so that something accepted may be gone.
 type CorruptError struct {
 	File   string
@@ -86,8 +119,10 @@
 	recordHead  = 24
 	kindHard    = 1
 	kindItem    = 2
+	kindPacked  = 3
 	fileMagic   = 0x7a5d0001
 	imageMagic  = 0x7a5d0002
+	packedMagic = 0x7a5d0003
 	fileHead    = 24
 	imageHead   = 32
 	recordGuard = 0x7a5d
@@ -177,7 +212,8 @@
 		return nil, 0, nil
 	}
 	size := binary.BigEndian.Uint64(head[8:])
-	if binary.BigEndian.Uint32(head) != imageMagic || int64(size) > area.Size()-imageHead {
+	isPacked := binary.BigEndian.Uint32(head) == packedMagic
+	if !isPacked && binary.BigEndian.Uint32(head) != imageMagic || int64(size) > area.Size()-imageHead {
 		return nil, 0, &CorruptError{"image", 0}
 	}
 	text := make([]byte, size)
@@ -187,8 +223,15 @@
 	if crc32.Checksum(text, table) != binary.BigEndian.Uint32(head[4:]) {
 		return nil, 0, &CorruptError{"image", imageHead}
 	}
+	whole := text
+	if isPacked {
+		var err error
+		if whole, err = unpack(text); err != nil {
+			return nil, 0, &CorruptError{"image", imageHead}
+		}
+	}
 	image := &schema.Image{}
-	if err := proto.Unmarshal(text, image); err != nil {
+	if err := proto.Unmarshal(whole, image); err != nil {
 		return nil, 0, &CorruptError{"image", imageHead}
 	}
 	return image, image.Index, nil
@@ -284,6 +327,13 @@
 }
 
 func (f *ringFile) take(state *State, kind byte, payload []byte) error {
+	if kind == kindPacked {
+		whole, err := unpack(payload)
+		if err != nil {
+			return err
+		}
+		kind, payload = kindItem, whole
+	}
 	switch kind {
 	case kindHard:
 		hard := &schema.HardState{}
@@ -337,6 +387,9 @@
 	if err != nil {
 		return nil, fmt.Errorf("encode journal record: %w", err)
 	}
+	if len(payload) > constants.PackFrom && kind == kindItem {
+		kind, payload = kindPacked, pack(payload)
+	}
 	j.serial++
 	text := make([]byte, recordHead+len(payload))
 	binary.BigEndian.PutUint16(text, recordGuard)
@@ -428,12 +481,13 @@
 	if err != nil {
 		return fmt.Errorf("encode image: %w", err)
 	}
+	text = pack(text)
 	if int64(len(text)) > j.options.ImageBytes-imageHead {
 		return &LargeError{int64(len(text)), j.options.ImageBytes}
 	}
 	area := j.images[j.imageNext]
 	head := make([]byte, imageHead)
-	binary.BigEndian.PutUint32(head, imageMagic)
+	binary.BigEndian.PutUint32(head, packedMagic)
 	binary.BigEndian.PutUint32(head[4:], crc32.Checksum(text, table))
 	binary.BigEndian.PutUint64(head[8:], uint64(len(text)))
 	if _, err := area.WriteAt(append(head, text...), 0); err != nil {
--- a/internal/node/routed.go
+++ b/internal/node/routed.go
@@ -13,6 +13,7 @@
 	"topazshed/internal/constants"
 	"topazshed/internal/core"
 	"topazshed/internal/gateway"
+	"topazshed/internal/journal"
 	"topazshed/internal/keys"
 	"topazshed/internal/roster"
 	"topazshed/internal/schema"
@@ -56,7 +57,8 @@
 func (n *Node) routed() *core.Routed {
 	bounds := n.seam.Bounds
 	reckon := gateway.NewLoads(n.Now(), bounds.Bounds)
-	return &core.Routed{HoldMost: bounds.HoldMost, ListLag: bounds.ListLag, ColdBearable: reckon.ColdBearable,
+	sizes := journal.Sized(n.settings.DiskBytes)
+	return &core.Routed{Fits: sizes.Fits, HoldMost: bounds.HoldMost, ListLag: bounds.ListLag, ColdBearable: reckon.ColdBearable,
 		Heat: func(span time.Duration) []*schema.KeyHeat { return n.gateway.Loads().TakeHeat(span) }}
 }
 
