--- a/internal/keys/keys_test.go
+++ b/internal/keys/keys_test.go
@@ -244,3 +244,43 @@
 		}
 	}
 }
+
+func TestAZoneThatSettlesGetsKeysOnlyIfNoOtherCan(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		settling []string
+		want     string
+	}{
+		{"one zone settles", []string{"d0"}, "d1"},
+		{"all zones settle", []string{"d0", "d1"}, "d0"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			table := image.NewTable()
+			rows := []*schema.Row{image.Put(image.PolicyKey("a"), &schema.ServicePolicy{Service: "a", Keyed: true})}
+			for _, zone := range []string{"d0", "d1"} {
+				rows = append(rows, image.Put(image.DistrictKey(zone), &schema.District{Name: zone, Settling: slices.Contains(c.settling, zone)}),
+					image.Put(image.BackendKey("a", "i-"+zone), &schema.Backend{Service: "a", Instance: "i-" + zone, Address: zone, District: zone, State: schema.BackendState_BACKEND_READY}))
+			}
+			if _, err := table.Apply(1, &schema.Record{Kind: schema.RecordKind_RECORD_ROWS, Rows: rows}, nil); err != nil {
+				t.Fatal(err)
+			}
+			g := New(Options{Most: 10 * time.Second})
+			var record *schema.Record
+			for now := time.Minute; record == nil && now < time.Minute+10*time.Second; now += 100 * time.Millisecond {
+				if effects := g.Step(Facts{Now: now, View: image.Compile(table), Table: table, IsLeading: true, ElectedAt: time.Minute, LeaseAt: now}); len(effects.Records) > 0 {
+					record = effects.Records[0]
+				}
+			}
+			if record == nil {
+				t.Fatal("nothing was laid out")
+			}
+			holder := image.Decode[schema.KeySpan](record.Rows[0]).Instance
+			if holder != "i-"+c.want {
+				t.Errorf("the first keys go to %s, want i-%s", holder, c.want)
+			}
+			if len(c.settling) == 1 && len(record.Rows) != 1 {
+				t.Errorf("%d spans, want the settling zone left out", len(record.Rows))
+			}
+		})
+	}
+}
--- a/internal/keys/step.go
+++ b/internal/keys/step.go
@@ -132,7 +132,7 @@
 		if _, isShunned := s.m.shunned[backend.Instance]; isShunned {
 			continue
 		}
-		if backend.Cold {
+		if backend.Cold || s.f.View.Districts[backend.District].GetSettling() {
 			cold = append(cold, backend.Instance)
 		} else {
 			warm = append(warm, backend.Instance)
