Operators' queries are passed on until a leader answers, for most of a second

Ruled out: commits, a stuck head, the disk (the leader's own log each second). Now a node seeks and asks again within 0.9 s.

--- a/internal/constants/constants.go
+++ b/internal/constants/constants.go
@@ -302,6 +302,12 @@
 	SettleMargin = 300 * time.Millisecond
 	// SponsorsMost (nodes) share what a cold back end bears: whole requests a second remain for each.
 	SponsorsMost = 4
+	// OperatorPatience (time) is how long a node seeks a leader for an operator's query before it says that there is none: below the second after which operators turn elsewhere.
+	OperatorPatience = 900 * time.Millisecond
+	// PassOnWait (time) without an answer from the leader after which a query is passed on again: a commit over the longest links and a slow disk.
+	PassOnWait = 400 * time.Millisecond
+	// PassOnPause (time) after a node said that it does not lead.
+	PassOnPause = 100 * time.Millisecond
 	// FarNeighbours (nodes) of other regions are probed at most where the own region has too few: bytes between regions are dear.
 	FarNeighbours = 1
 	// RoutedHeartbeat (time) keeps a routed fleet's leader known: four fit into the shortest election wait.
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -96,6 +96,9 @@
 	until  time.Duration
 	query  *schema.OperatorQuery
 	isSent bool
+	bornAt time.Duration
+	sentAt time.Duration
+	hasWay bool
 }
 
 type granted struct {
@@ -382,6 +385,9 @@
 	case *schema.Frame_OperatorOutcome:
 		for i, w := range c.waiters {
 			if w.isSent && w.ticket == f.Call {
+				if c.mayAskAgain(w, body.OperatorOutcome) {
+					break
+				}
 				c.effects.Outcomes = append(c.effects.Outcomes, Outcome{w.ticket, body.OperatorOutcome})
 				c.waiters = slices.Delete(c.waiters, i, i+1)
 				break
--- a/internal/core/lead.go
+++ b/internal/core/lead.go
@@ -457,6 +457,12 @@
 			c.reply(w, &schema.OperatorOutcome{Decline: schema.DeclineKind_DECLINE_NO_LEADER, Message: "the node asked does not lead; ask again shortly"})
 			return
 		}
+		if c.routed != nil {
+			w.isSent, w.bornAt = true, c.now
+			c.waiters = append(c.waiters, w)
+			c.passOn(w)
+			return
+		}
 		if c.leader == "" || c.leader == c.self.Address || c.now-c.leaderAt > constants.NodeLostAfter {
 			c.reply(w, &schema.OperatorOutcome{Decline: schema.DeclineKind_DECLINE_NO_LEADER, Message: "no leader is known; ask again shortly, and run doctor if it lasts"})
 			return
@@ -627,6 +633,7 @@
 func (c *Core) expire() {
 	c.confirm()
 	c.resumeDeferred()
+	c.askAgain()
 	for i := 0; i < len(c.waiters); i++ {
 		if w := c.waiters[i]; c.now > w.until {
 			c.waiters = slices.Delete(c.waiters, i, i+1)
--- /dev/null
+++ b/internal/core/pass_on_test.go
@@ -0,0 +1,73 @@
+package core
+
+import (
+	"io"
+	"log/slog"
+	"testing"
+	"time"
+
+	"topazshed/internal/schema"
+)
+
+func TestAnOperatorsQueryIsPassedOnUntilALeaderAnswers(t *testing.T) {
+	type step struct {
+		after   time.Duration
+		leader  string
+		answer  *schema.OperatorOutcome
+		sends   int
+		decline schema.DeclineKind
+		isDone  bool
+	}
+	ms := time.Millisecond
+	noLeader := &schema.OperatorOutcome{Decline: schema.DeclineKind_DECLINE_NO_LEADER}
+	for _, c := range []struct {
+		name  string
+		steps []step
+	}{
+		{"the leader answers", []step{{leader: "l", sends: 0}, {after: 420 * ms, sends: 1}, {answer: &schema.OperatorOutcome{Version: 7}, isDone: true}}},
+		{"a leader is known after a while", []step{{after: 420 * ms}, {after: 200 * ms, leader: "l"}, {after: 220 * ms, sends: 1}, {answer: &schema.OperatorOutcome{}, isDone: true}}},
+		{"the former leader was asked", []step{{leader: "old"}, {after: 420 * ms, sends: 1}, {answer: noLeader}, {after: 20 * ms, leader: "new"}, {after: 100 * ms, sends: 1}, {answer: &schema.OperatorOutcome{}, isDone: true}}},
+		{"the query was lost on its way", []step{{leader: "l"}, {after: 420 * ms, sends: 1}, {after: 420 * ms, sends: 1}, {answer: &schema.OperatorOutcome{}, isDone: true}}},
+		{"there is no leader", []step{{after: 420 * ms}, {after: 420 * ms}, {after: 420 * ms, decline: schema.DeclineKind_DECLINE_NO_LEADER, isDone: true}}},
+		{"nobody leads to the end", []step{{leader: "l"}, {after: 420 * ms, sends: 1}, {after: 480 * ms, sends: 1}, {after: 100 * ms}, {answer: noLeader, decline: schema.DeclineKind_DECLINE_NO_LEADER, isDone: true}}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			now := time.Hour
+			core := New(now, Options{Self: &schema.Node{Id: "n", Address: "n", District: "z", Region: "r"}, Seeds: []string{"s"}, System: "x", Draw: func(int64) int64 { return 0 },
+				Log: slog.New(slog.NewTextHandler(io.Discard, nil)), Routed: &Routed{HoldMost: time.Second, ColdBearable: func(*schema.ServicePolicy) int { return 1 }}})
+			core.Operate(now, 5, &schema.OperatorQuery{Kind: schema.OperatorKind_OPERATOR_SHOW})
+			core.Take()
+			for i, s := range c.steps {
+				if s.leader != "" {
+					core.leader, core.leaderAt = s.leader, now
+				}
+				if s.answer != nil {
+					core.Receive(now, &schema.Frame{System: "x", From: "l", Address: "l", Call: 5, Outcome: true, Body: &schema.Frame_OperatorOutcome{OperatorOutcome: s.answer}})
+				}
+				for until := now + s.after; now < until; {
+					now += 20 * ms
+					if core.leader != "" {
+						core.leaderAt = now
+					}
+					core.Tick(now)
+				}
+				sends := 0
+				effects := core.Take()
+				for _, send := range effects.Sends {
+					if send.Frame.GetOperatorQuery() != nil {
+						sends++
+						if send.To != core.leader || send.Frame.Call != 5 {
+							t.Errorf("step %d: sent to %s as call %d", i, send.To, send.Frame.Call)
+						}
+					}
+				}
+				if sends != s.sends {
+					t.Fatalf("step %d: passed on %d times, want %d", i, sends, s.sends)
+				}
+				if isDone := len(effects.Outcomes) > 0; isDone != s.isDone || isDone && effects.Outcomes[0].Outcome.Decline != s.decline {
+					t.Fatalf("step %d: outcomes %v", i, effects.Outcomes)
+				}
+			}
+		})
+	}
+}
--- a/internal/core/routed.go
+++ b/internal/core/routed.go
@@ -239,3 +239,46 @@
 		w.until = until
 	}
 }
+
+// passOn sends an operator's query to the leader, if one is known.
+func (c *Core) passOn(w *waiter) {
+	w.sentAt = c.now
+	w.hasWay = c.leader != "" && c.leader != c.self.Address && c.now-c.leaderAt <= constants.NodeLostAfter
+	if w.hasWay {
+		c.send(c.leader, &schema.Frame{Call: w.ticket, Body: &schema.Frame_OperatorQuery{OperatorQuery: w.query}})
+	}
+}
+
+// mayAskAgain tells that an answer only says that another node must be asked, and there is time to: operators wait longer after each failure.
+func (c *Core) mayAskAgain(w *waiter, outcome *schema.OperatorOutcome) bool {
+	if c.routed == nil || outcome.Decline != schema.DeclineKind_DECLINE_NO_LEADER || c.now >= w.bornAt+constants.OperatorPatience {
+		return false
+	}
+	w.hasWay = false
+	w.sentAt = c.now - constants.PassOnWait + constants.PassOnPause
+	return true
+}
+
+// askAgain passes on what found no leader or no answer; the leader takes a query that comes twice as one.
+func (c *Core) askAgain() {
+	if c.routed == nil {
+		return
+	}
+	for _, w := range slices.Clone(c.waiters) {
+		if !w.isSent || c.now-w.sentAt < constants.PassOnWait {
+			continue
+		}
+		isOver := c.now >= w.bornAt+constants.OperatorPatience
+		switch {
+		case c.IsLeading():
+			c.waiters = slices.DeleteFunc(c.waiters, func(other *waiter) bool { return other == w })
+			w.isSent = false
+			c.operate(w)
+		case !isOver:
+			c.passOn(w)
+		case !w.hasWay:
+			c.waiters = slices.DeleteFunc(c.waiters, func(other *waiter) bool { return other == w })
+			c.reply(w, &schema.OperatorOutcome{Decline: schema.DeclineKind_DECLINE_NO_LEADER, Message: "no leader is known; ask again shortly, and run doctor if it lasts"})
+		}
+	}
+}
