Sockets' options in one place; a broken-off long answer never waits for its back end

Found by TestAClientThatGoesCancelsItsRequest failing once under load: when writing to the caller failed before its context ended, the end of the exchange read one more byte from a back end that says nothing. It reads only after a whole answer now.

--- a/internal/frame/frame.go
+++ b/internal/frame/frame.go
@@ -12,13 +12,13 @@
 	"net"
 	"net/netip"
 	"sync"
-	"syscall"
 	"time"
 
 	"google.golang.org/protobuf/proto"
 
 	"topazshed/internal/constants"
 	"topazshed/internal/schema"
+	"topazshed/internal/sockets"
 )
 
 // OversizeError says that a peer announced a frame above the limit.
@@ -167,13 +167,7 @@
 	var conn net.Conn
 	var writer *bufio.Writer
 	var failedAt time.Time
-	dialer := net.Dialer{Timeout: constants.DialWait, LocalAddr: n.local, Control: func(_, _ string, raw syscall.RawConn) error {
-		var fault error
-		err := raw.Control(func(fd uintptr) {
-			fault = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(constants.FrameSilence.Milliseconds()))
-		})
-		return errors.Join(err, fault)
-	}}
+	dialer := net.Dialer{Timeout: constants.DialWait, LocalAddr: n.local, Control: sockets.Silence(constants.FrameSilence)}
 	defer func() {
 		if conn != nil {
 			conn.Close()
@@ -231,9 +225,6 @@
 	}
 }
 
-// tcpUserTimeout is the socket option that bounds how long sent bytes may stay without word of their arrival.
-const tcpUserTimeout = 18
-
 // Close ends all connections and waits for their tasks.
 func (n *Net) Close() error {
 	n.lock.Lock()
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"bytes"
 	"context"
-	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -14,11 +13,11 @@
 	"strconv"
 	"strings"
 	"sync"
-	"syscall"
 	"time"
 
 	"topazshed/internal/constants"
 	"topazshed/internal/schema"
+	"topazshed/internal/sockets"
 )
 
 // Conn is one connection to a back end.
@@ -49,13 +48,7 @@
 func NewPool(local string, stats *Stats) *Pool {
 	p := &Pool{stats: stats}
 	p.dialer.KeepAliveConfig = net.KeepAliveConfig{Enable: true, Idle: constants.KeepAliveIdle, Interval: constants.KeepAliveEvery, Count: constants.KeepAliveCount}
-	p.dialer.Control = func(_, _ string, raw syscall.RawConn) error {
-		var fault error
-		err := raw.Control(func(fd uintptr) {
-			fault = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, TCPUserTimeout, int(constants.BackendSilence.Milliseconds()))
-		})
-		return errors.Join(err, fault)
-	}
+	p.dialer.Control = sockets.Silence(constants.BackendSilence)
 	if address, err := netip.ParseAddrPort(local); err == nil {
 		p.dialer.LocalAddr = &net.TCPAddr{IP: address.Addr().AsSlice()}
 	}
@@ -65,9 +58,6 @@
 	return p
 }
 
-// TCPUserTimeout is the socket option that bounds how long sent bytes may stay without word of their arrival.
-const TCPUserTimeout = 18
-
 // Get gives an idle connection to an instance or a new one.
 func (p *Pool) Get(ctx context.Context, b *schema.Backend, wait time.Duration) (*Conn, error) {
 	s := &p.shards[shardOf(b.Instance)]
@@ -97,22 +87,7 @@
 	if c.reader.Buffered() > 0 {
 		return false
 	}
-	tcp, isTCP := c.Conn.(*net.TCPConn)
-	if !isTCP {
-		return true
-	}
-	raw, err := tcp.SyscallConn()
-	if err != nil {
-		return false
-	}
-	isQuiet := true
-	err = raw.Read(func(fd uintptr) bool {
-		var one [1]byte
-		n, _, err := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		isQuiet = n < 0 && (errors.Is(err, syscall.EAGAIN) || errors.Is(err, syscall.EWOULDBLOCK))
-		return true
-	})
-	return err == nil && isQuiet
+	return sockets.IsQuiet(c.Conn)
 }
 
 // Put gives a clean connection back.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -336,9 +336,9 @@
 }
 
 func (g *Gateway) end(course *Course, conn *Conn, answer *Answer, isClean bool) {
-	if answer != nil && answer.Rest != nil {
-		n, _ := answer.Rest.Read(make([]byte, 1))
-		isClean = isClean && n == 0
+	if isClean && answer != nil && answer.Rest != nil {
+		n, err := answer.Rest.Read(make([]byte, 1))
+		isClean = n == 0 && err == io.EOF
 	}
 	if isClean && answer != nil && conn.reader.Buffered() == 0 && course.choice.Backend != nil {
 		g.pool.Put(course.choice.Backend.Instance, conn)
--- a/internal/proxy/pool.go
+++ b/internal/proxy/pool.go
@@ -11,10 +11,10 @@
 	"net/http"
 	"net/netip"
 	"sync"
-	"syscall"
 	"time"
 
 	"topazshed/internal/constants"
+	"topazshed/internal/sockets"
 )
 
 // Identity is what a back end or proxy proves on a new connection.
@@ -72,7 +72,7 @@
 	for n := len(s.idle[who]); n > 0; n = len(s.idle[who]) {
 		conn := s.idle[who][n-1]
 		s.idle[who] = s.idle[who][:n-1]
-		if time.Since(conn.idle) > constants.IdleLife || conn.reader.Buffered() > 0 || conn.RemoteAddr().String() != address || !conn.isAlive() {
+		if time.Since(conn.idle) > constants.IdleLife || conn.reader.Buffered() > 0 || conn.RemoteAddr().String() != address || !sockets.IsQuiet(conn.Conn) {
 			conn.Close()
 			continue
 		}
@@ -123,25 +123,6 @@
 	return got, nil
 }
 
-func (c *Proved) isAlive() bool {
-	tcp, isTCP := c.Conn.(*net.TCPConn)
-	if !isTCP {
-		return true
-	}
-	raw, err := tcp.SyscallConn()
-	if err != nil {
-		return false
-	}
-	isAlive := true
-	err = raw.Read(func(fd uintptr) bool {
-		var one [1]byte
-		n, _, err := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		isAlive = n < 0 && (errors.Is(err, syscall.EAGAIN) || errors.Is(err, syscall.EWOULDBLOCK))
-		return true
-	})
-	return err == nil && isAlive
-}
-
 // Put gives a clean connection back.
 func (p *Pool) Put(conn *Proved) {
 	conn.idle = time.Now()
