--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -202,7 +202,7 @@
 		if options.Image != nil {
 			c.table.Restore(options.Image)
 		}
-		c.quorum = quorum.New(now, quorum.Options{ID: c.self.Id, Hard: options.Hard, Image: options.Image, Items: options.Items, Draw: options.Draw, Whole: c.Whole, Pace: c.routed.quorumPace()})
+		c.quorum = quorum.New(now, quorum.Options{ID: c.self.Id, Hard: c.restored(options.Hard), Image: options.Image, Items: options.Items, Draw: options.Draw, Whole: c.Whole, Pace: c.routed.quorumPace()})
 		c.view = image.Compile(c.table)
 		c.noteFences(c.table.Rows(image.All))
 		c.apply()
--- a/internal/core/routed.go
+++ b/internal/core/routed.go
@@ -282,3 +282,12 @@
 		}
 	}
 }
+
+// restored is what a voter may take from its disk at a start. Only a routed fleet serves on its own last state before a leader has told it
+// the newest; a fleet of entries must not even hold it, since a leader that has not settled yet would seem to confirm it.
+func (c *Core) restored(hard *schema.HardState) *schema.HardState {
+	if c.routed != nil || hard == nil {
+		return hard
+	}
+	return &schema.HardState{Term: hard.Term, Vote: hard.Vote, Id: hard.Id, System: hard.System}
+}
