Frames carry a copy of their sender's description, which may change meanwhile

Ruled out: the beat (it held a copy already), rows of the table (never changed once stored).

Change: neighbours gives a copy for each frame.

--- a/internal/core/beats.go
+++ b/internal/core/beats.go
@@ -145,7 +145,7 @@
 	if c.routed == nil {
 		return nodes
 	}
-	nodes = append(nodes, c.self)
+	nodes = append(nodes, c.near.Self())
 	for _, id := range slices.Sorted(maps.Keys(c.view.Nodes)) {
 		if node := c.view.Nodes[id]; node.Disk && node.Region == to.GetRegion() && node.State == schema.NodeState_NODE_READY {
 			nodes = append(nodes, node)
@@ -164,7 +164,7 @@
 	if known := c.near.Known(); len(known) > 0 && c.options.Draw(2) == 0 {
 		to = known[c.options.Draw(int64(len(known)))].Address
 	}
-	c.send(to, &schema.Frame{Body: &schema.Frame_Who{Who: &schema.Who{Node: c.self}}})
+	c.send(to, &schema.Frame{Body: &schema.Frame_Who{Who: &schema.Who{Node: c.near.Self()}}})
 }
 
 // newestAt is the newest incarnation that was heard of at each address: an older one there is no more.
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -442,11 +442,11 @@
 	if c.now-c.whoAt >= constants.WhoEvery {
 		c.whoAt = c.now
 		for _, seed := range c.options.Seeds {
-			c.send(seed, &schema.Frame{Body: &schema.Frame_Who{Who: &schema.Who{Node: c.self}}})
+			c.send(seed, &schema.Frame{Body: &schema.Frame_Who{Who: &schema.Who{Node: c.near.Self()}}})
 		}
 		for _, node := range c.near.Known() {
 			if !slices.Contains(c.options.Seeds, node.Address) {
-				c.send(node.Address, &schema.Frame{Body: &schema.Frame_Who{Who: &schema.Who{Node: c.self}}})
+				c.send(node.Address, &schema.Frame{Body: &schema.Frame_Who{Who: &schema.Who{Node: c.near.Self()}}})
 			}
 		}
 	}
@@ -483,7 +483,7 @@
 	c.serial++
 	c.beats[c.serial] = c.now
 	delete(c.beats, c.serial-64)
-	b := &schema.Beat{Node: proto.Clone(c.self).(*schema.Node), Version: c.table.Version(), Vitals: c.vitals, Suspects: c.near.Suspects(), Serial: c.serial, Keepers: c.keepers, KeeperReady: c.isKeeping, Floor: c.floor}
+	b := &schema.Beat{Node: c.near.Self(), Version: c.table.Version(), Vitals: c.vitals, Suspects: c.near.Suspects(), Serial: c.serial, Keepers: c.keepers, KeeperReady: c.isKeeping, Floor: c.floor}
 	if c.routed != nil {
 		b.Heat = c.routed.takeHeat(c.now)
 		c.beatRouted(b)
--- a/internal/neighbours/neighbours.go
+++ b/internal/neighbours/neighbours.go
@@ -6,6 +6,8 @@
 	"slices"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"topazshed/internal/constants"
 	"topazshed/internal/schema"
 )
@@ -59,6 +61,9 @@
 	return &Neighbours{options: options, self: options.Self, active: map[string]*peer{}, passive: map[string]*schema.Node{}, suspects: map[string]time.Duration{}}
 }
 
+// Self gives a copy of this node's description as it stands now: frames wait to be written while the description changes.
+func (n *Neighbours) Self() *schema.Node { return proto.Clone(n.self).(*schema.Node) }
+
 // Learn puts nodes into the passive view.
 func (n *Neighbours) Learn(nodes ...*schema.Node) {
 	for _, node := range nodes {
@@ -119,7 +124,7 @@
 		j := n.options.Draw(int64(i + 1))
 		nodes[i], nodes[j] = nodes[j], nodes[i]
 	}
-	nodes = append([]*schema.Node{n.self}, nodes...)
+	nodes = append([]*schema.Node{n.Self()}, nodes...)
 	return nodes[:min(len(nodes), constants.ShuffleSample)]
 }
 
