Frames name their sender once a connection; fewer questions for a system

Ruled out: one seed in turn for everyone (a system without a disk among its seeds was then not founded: TestARoutedSystemIsFoundedOnce); machines with a disk and seeds go on asking all seeds.

Change: frame.Writer leaves out a sender that the connection has told; readers without a disk ask one seed after another at the first start; introductions are a sample of the views.

--- a/internal/core/beats.go
+++ b/internal/core/beats.go
@@ -139,15 +139,16 @@
 	}
 }
 
-// introduce gives the nodes that a node which asks should know: those of the views, and the disk machines of its own region.
+// introduce gives some of the nodes that a node which asks should know: a sample of the views, and in a routed fleet the disk machines of its own region.
 func (c *Core) introduce(to *schema.Node) []*schema.Node {
-	nodes := c.near.Known()
+	nodes := c.near.Sample()
 	if c.routed == nil {
 		return nodes
 	}
-	nodes = append(nodes, c.near.Self())
 	for _, id := range slices.Sorted(maps.Keys(c.view.Nodes)) {
-		if node := c.view.Nodes[id]; node.Disk && node.Region == to.GetRegion() && node.State == schema.NodeState_NODE_READY {
+		node := c.view.Nodes[id]
+		isTold := slices.ContainsFunc(nodes, func(other *schema.Node) bool { return other.Id == id })
+		if node.Disk && !isTold && node.Region == to.GetRegion() && node.State == schema.NodeState_NODE_READY {
 			nodes = append(nodes, node)
 		}
 	}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -163,6 +163,7 @@
 	reads      map[uint64]*waiter
 	nextRead   uint64
 	whoAt      time.Duration
+	askedSeeds int
 	seeds      map[string]time.Duration
 	empties    map[string]bool
 	emptySince time.Duration
@@ -438,16 +439,26 @@
 	c.expire()
 }
 
+// asked are the nodes to ask for a system now. Seeds and machines with a disk must hear all seeds to found one; the others ask one seed
+// after another where nothing can have been founded before, all of them where something was; and each asks one more node that it knows.
+func (c *Core) asked() []string {
+	seeds := c.options.Seeds
+	if c.quorum == nil && !c.options.Rejoin && !slices.Contains(seeds, c.self.Address) {
+		c.askedSeeds++
+		seeds = seeds[c.askedSeeds%len(seeds):][:1]
+	}
+	others := slices.DeleteFunc(c.near.Known(), func(node *schema.Node) bool { return slices.Contains(c.options.Seeds, node.Address) })
+	if len(others) == 0 {
+		return seeds
+	}
+	return append(slices.Clone(seeds), others[c.options.Draw(int64(len(others)))].Address)
+}
+
 func (c *Core) found() {
 	if c.now-c.whoAt >= constants.WhoEvery {
 		c.whoAt = c.now
-		for _, seed := range c.options.Seeds {
-			c.send(seed, &schema.Frame{Body: &schema.Frame_Who{Who: &schema.Who{Node: c.near.Self()}}})
-		}
-		for _, node := range c.near.Known() {
-			if !slices.Contains(c.options.Seeds, node.Address) {
-				c.send(node.Address, &schema.Frame{Body: &schema.Frame_Who{Who: &schema.Who{Node: c.near.Self()}}})
-			}
+		for _, address := range c.asked() {
+			c.send(address, &schema.Frame{Body: &schema.Frame_Who{Who: &schema.Who{Node: c.near.Self()}}})
 		}
 	}
 	if c.quorum == nil || c.quorum.Last() > 0 || c.options.Rejoin || c.options.Hard.GetId() != "" && c.options.Restart {
--- a/internal/frame/frame.go
+++ b/internal/frame/frame.go
@@ -64,6 +64,60 @@
 	return frame, nil
 }
 
+// OriginError says that the first frame of a connection does not tell who sent it.
+type OriginError struct{}
+
+func (e *OriginError) Error() string {
+	return "the first frame of a connection names no sender; the connection is closed, check the peer's version"
+}
+
+// Writer sends frames on one connection; only the first one, and those that differ from it, name their sender.
+type Writer struct {
+	out    io.Writer
+	origin *schema.Frame
+}
+
+// NewWriter begins a connection's frames.
+func NewWriter(out io.Writer) *Writer { return &Writer{out: out, origin: &schema.Frame{}} }
+
+func isSameOrigin(a, b *schema.Frame) bool {
+	return a.System == b.System && a.From == b.From && a.Address == b.Address
+}
+
+// Write sends one frame, which stays as it is.
+func (w *Writer) Write(frame *schema.Frame) error {
+	if frame.From != "" && isSameOrigin(frame, w.origin) {
+		return Write(w.out, &schema.Frame{Call: frame.Call, Outcome: frame.Outcome, Body: frame.Body})
+	}
+	w.origin = frame
+	return Write(w.out, frame)
+}
+
+// Reader takes the frames of one connection and gives each its sender.
+type Reader struct {
+	in     io.Reader
+	origin *schema.Frame
+}
+
+// NewReader begins a connection's frames.
+func NewReader(in io.Reader) *Reader { return &Reader{in: in} }
+
+// Read takes one frame.
+func (r *Reader) Read() (*schema.Frame, error) {
+	frame, err := Read(r.in)
+	switch {
+	case err != nil:
+		return nil, err
+	case frame.From != "":
+		r.origin = &schema.Frame{System: frame.System, From: frame.From, Address: frame.Address}
+	case r.origin == nil:
+		return nil, &OriginError{}
+	default:
+		frame.System, frame.From, frame.Address = r.origin.System, r.origin.From, r.origin.Address
+	}
+	return frame, nil
+}
+
 // Options say how a Net listens and to whom it gives frames.
 type Options struct {
 	Listen string
@@ -131,9 +185,9 @@
 		delete(n.inbound, conn)
 		n.lock.Unlock()
 	}()
-	reader := bufio.NewReaderSize(conn, 64<<10)
+	reader := NewReader(bufio.NewReaderSize(conn, 64<<10))
 	for {
-		frame, err := Read(reader)
+		frame, err := reader.Read()
 		if err != nil {
 			if !errors.Is(err, io.EOF) && !errors.Is(err, net.ErrClosed) {
 				n.options.Log.Warn("peer connection closed", "peer", conn.RemoteAddr().String(), "reason", err.Error())
@@ -165,7 +219,8 @@
 
 func (n *Net) transmit(to string, l *link) {
 	var conn net.Conn
-	var writer *bufio.Writer
+	var buffer *bufio.Writer
+	var writer *Writer
 	var failedAt time.Time
 	dialer := net.Dialer{Timeout: constants.DialWait, LocalAddr: n.local, Control: sockets.Silence(constants.FrameSilence)}
 	defer func() {
@@ -203,7 +258,8 @@
 				}
 				continue
 			}
-			conn, writer = fresh, bufio.NewWriterSize(fresh, 64<<10)
+			conn, buffer = fresh, bufio.NewWriterSize(fresh, 64<<10)
+			writer = NewWriter(buffer)
 			watched := conn
 			n.tasks.Go(func() {
 				io.Copy(io.Discard, watched)
@@ -211,12 +267,12 @@
 			})
 		}
 		conn.SetWriteDeadline(time.Now().Add(constants.FrameStall))
-		err := Write(writer, frame)
+		err := writer.Write(frame)
 		for err == nil && len(l.queue) > 0 {
-			err = Write(writer, <-l.queue)
+			err = writer.Write(<-l.queue)
 		}
 		if err == nil {
-			err = writer.Flush()
+			err = buffer.Flush()
 		}
 		if err != nil {
 			conn.Close()
--- a/internal/neighbours/neighbours.go
+++ b/internal/neighbours/neighbours.go
@@ -118,7 +118,8 @@
 	return nodes
 }
 
-func (n *Neighbours) sample() []*schema.Node {
+// Sample is this node and some that it knows.
+func (n *Neighbours) Sample() []*schema.Node {
 	nodes := n.Known()
 	for i := len(nodes) - 1; i > 0; i-- {
 		j := n.options.Draw(int64(i + 1))
@@ -173,7 +174,7 @@
 			}
 		}
 		if to != n.self.Address {
-			n.send(to, &schema.Frame{Body: &schema.Frame_Shuffle{Shuffle: &schema.Shuffle{Nodes: n.sample()}}})
+			n.send(to, &schema.Frame{Body: &schema.Frame_Shuffle{Shuffle: &schema.Shuffle{Nodes: n.Sample()}}})
 		}
 	}
 	sends := n.sends
@@ -207,7 +208,7 @@
 
 // Shuffle takes another node's sample and answers with one of its own.
 func (n *Neighbours) Shuffle(from string, shuffle *schema.Shuffle) []Send {
-	sample := n.sample()
+	sample := n.Sample()
 	n.Learn(shuffle.Nodes...)
 	if shuffle.Reply {
 		return nil
