A routed fleet's calmer pace: fewer wake-ups, deltas, digests and shuffles

Cause: an idle process woke fifty times a second to look at its clock, got four deltas and sent two subscriptions a second, hashed every row each 2 s and shuffled views that its table already has.

Ruled out (by profile of four idle machines): no single costly step; a third is the control machine's looks at the clock, a fifth system calls of frames, the rest the runtime's own wake-ups.

Change: RoutedTick, RoutedDelta, RoutedSubscribe, RoutedDigest beside the paces that routed fleets already had; shuffles each 8 s.

--- a/internal/constants/constants.go
+++ b/internal/constants/constants.go
@@ -324,8 +324,16 @@
 	RoutedProbe = 700 * time.Millisecond
 	// RoutedProbeWait (time) is the silence after which it is suspected.
 	RoutedProbeWait = 1500 * time.Millisecond
-	// RoutedShuffle (time) is how often views are shuffled in a routed fleet.
-	RoutedShuffle = 4 * time.Second
+	// RoutedShuffle (time) is how often views are shuffled in a routed fleet: its table has all nodes, the views only serve probes and a lost source.
+	RoutedShuffle = 8 * time.Second
+	// RoutedTick (time) is how often a routed fleet's control machine looks at the clock: a fifth of its heartbeat; each look is a wake-up.
+	RoutedTick = 50 * time.Millisecond
+	// RoutedDelta (time) is the longest pause between two deltas to a subscriber of a routed fleet: two fit into SourceSilent.
+	RoutedDelta = 400 * time.Millisecond
+	// RoutedSubscribe (time) renews a subscription of a routed fleet: two fit into SubscriptionLife.
+	RoutedSubscribe = 900 * time.Millisecond
+	// RoutedDigest (time) is how often a subscriber of a routed fleet compares its ranges: they differ only after a fault.
+	RoutedDigest = 6 * time.Second
 	// WholeBeats (beats) one of which tells a node's addresses; the others only its state.
 	WholeBeats = 12
 	// FarSourceAfter (time) without a source in the own region after which a reader turns to another region's.
--- a/internal/core/beats.go
+++ b/internal/core/beats.go
@@ -34,6 +34,27 @@
 	return constants.RoutedBeat
 }
 
+func (r *routedState) deltaEvery() time.Duration {
+	if r == nil {
+		return constants.DeltaEvery
+	}
+	return constants.RoutedDelta
+}
+
+func (r *routedState) subscribeEvery() time.Duration {
+	if r == nil {
+		return constants.SubscribeEvery
+	}
+	return constants.RoutedSubscribe
+}
+
+func (r *routedState) digestEvery() time.Duration {
+	if r == nil {
+		return constants.DigestEvery
+	}
+	return constants.RoutedDigest
+}
+
 func (r *routedState) lostAfter() time.Duration {
 	if r == nil {
 		return constants.NodeLostAfter
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -405,7 +405,7 @@
 	c.log.Info("system adopted", "system", system)
 }
 
-// Tick tells the time; the shell calls it every constants.Tick.
+// Tick tells the time; the shell calls it every constants.Tick, in a routed fleet every constants.RoutedTick.
 func (c *Core) Tick(now time.Duration) {
 	c.now = now
 	if now-c.tickedAt > time.Second {
@@ -432,7 +432,7 @@
 		c.beat()
 	}
 	c.seek()
-	if c.quorum == nil && now-c.subAt >= constants.SubscribeEvery {
+	if c.quorum == nil && now-c.subAt >= c.routed.subscribeEvery() {
 		c.subscribe(now)
 	}
 	c.spread()
@@ -628,7 +628,7 @@
 		}
 	}
 	c.send(c.source, &schema.Frame{Body: &schema.Frame_Subscribe{Subscribe: s}})
-	if now-c.digestAt >= constants.DigestEvery && len(s.Prefixes) > 0 {
+	if now-c.digestAt >= c.routed.digestEvery() && len(s.Prefixes) > 0 {
 		c.digestAt = now
 		d := &schema.Digest{Version: c.table.Version()}
 		for _, prefix := range s.Prefixes {
@@ -693,7 +693,7 @@
 			delete(c.subscriber, to)
 			continue
 		}
-		if sub.sent < c.table.Version() || c.now-sub.sentAt >= constants.DeltaEvery {
+		if sub.sent < c.table.Version() || c.now-sub.sentAt >= c.routed.deltaEvery() {
 			c.push(to, sub)
 		}
 	}
@@ -785,7 +785,7 @@
 // Local gives what the hot path may rely on now.
 func (c *Core) Local() *Local {
 	l := &Local{View: c.view, Held: c.held, IsFull: c.isFull(), FreshAt: c.freshAt, GrantUntil: c.grantUntil, Fences: c.fences, Opened: c.opened, BehindAt: c.behindAt, ThawedAt: c.thawedAt, TickAt: c.tickedAt,
-		Leader: c.leader, System: c.system, ListAt: c.listAt, ListFault: c.listFault, Suspects: c.near.Suspects(), Known: len(c.near.Known()), Rows: c.table.Size(),
+		Leader: c.leader, System: c.system, ListAt: c.listAt, ListFault: c.listFault, Suspects: c.near.Suspects(), Known: c.near.Size(), Rows: c.table.Size(),
 		IsStopping: c.self.State == schema.NodeState_NODE_STOPPING, Role: "reader"}
 	if c.quorum != nil {
 		l.Role, l.Term, l.Commit, l.Members, l.First = c.quorum.Role().String(), c.quorum.Term(), c.quorum.Commit(), c.quorum.Members(), c.quorum.First()
--- a/internal/neighbours/neighbours.go
+++ b/internal/neighbours/neighbours.go
@@ -118,6 +118,9 @@
 	return nodes
 }
 
+// Size is the count of nodes of both views.
+func (n *Neighbours) Size() int { return len(n.active) + len(n.passive) }
+
 // Sample is this node and some that it knows.
 func (n *Neighbours) Sample() []*schema.Node {
 	nodes := n.Known()
@@ -160,7 +163,7 @@
 	}
 	if now >= n.shuffleAt {
 		n.shuffleAt = now + n.options.Pace.Shuffle
-		if len(n.active)+len(n.passive) < constants.ShuffleSample {
+		if n.Size() < constants.ShuffleSample {
 			n.shuffleAt = now + min(n.options.Pace.Shuffle, constants.ShuffleEvery)
 		}
 		to := n.options.Seeds[n.options.Draw(int64(len(n.options.Seeds)))]
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -271,7 +271,11 @@
 }
 
 func (n *Node) own() {
-	ticker := time.NewTicker(constants.Tick)
+	pace := constants.Tick
+	if n.seam != nil {
+		pace = constants.RoutedTick
+	}
+	ticker := time.NewTicker(pace)
 	defer ticker.Stop()
 	driver := n.driver()
 	for {
--- a/internal/sim/routed_scale.go
+++ b/internal/sim/routed_scale.go
@@ -393,7 +393,7 @@
 
 func (f *hollowFleet) tick(n *hollowNode) {
 	f.step(n, func() { n.core.Tick(f.clock(n)) })
-	f.after(constants.Tick, func() { f.tick(n) })
+	f.after(constants.RoutedTick, func() { f.tick(n) })
 }
 
 func (f *hollowFleet) list() {
