--- a/internal/keys/heat.go
+++ b/internal/keys/heat.go
@@ -1,6 +1,10 @@
 package keys
 
-import "sort"
+import (
+	"sort"
+
+	"topazshed/internal/constants"
+)
 
 // heat is a service's load by equal buckets of its keys.
 type heat struct {
@@ -22,11 +26,11 @@
 func (h heat) below(key uint32) float64 {
 	count := uint64(len(h.buckets))
 	place := uint64(key) * count
-	i := place / (LastKey + 1)
+	i := place / (constants.LastKey + 1)
 	if i >= count {
 		return h.total
 	}
-	return h.sums[i] + h.buckets[i]*float64(place%(LastKey+1))/(LastKey+1)
+	return h.sums[i] + h.buckets[i]*float64(place%(constants.LastKey+1))/(constants.LastKey+1)
 }
 
 func (h heat) sum(first, last uint32) float64 {
@@ -38,11 +42,11 @@
 
 // weight is a range's share of heat and keys.
 func (h heat) weight(first, last uint32) float64 {
-	share := float64(last-first+1) / (LastKey + 1)
-	if h.total < HeatLeast {
+	share := float64(last-first+1) / (constants.LastKey + 1)
+	if h.total < constants.KeyHeatLeast {
 		return share
 	}
-	return (1-KeyPart)*h.sum(first, last)/h.total + KeyPart*share
+	return (1-constants.KeyWidthPart)*h.sum(first, last)/h.total + constants.KeyWidthPart*share
 }
 
 // cut is the last key of the range from first that weighs about as much as told.
@@ -53,15 +57,15 @@
 // start is the first key of a key's bucket.
 func (h heat) start(key uint32) uint32 {
 	count := uint64(len(h.buckets))
-	i := uint64(key) * count / (LastKey + 1)
-	return uint32((i*(LastKey+1) + count - 1) / count)
+	i := uint64(key) * count / (constants.LastKey + 1)
+	return uint32((i*(constants.LastKey+1) + count - 1) / count)
 }
 
 // end is the last key of a key's bucket.
 func (h heat) end(key uint32) uint32 {
 	count := uint64(len(h.buckets))
-	i := uint64(key)*count/(LastKey+1) + 1
-	return uint32((i*(LastKey+1)+count-1)/count) - 1
+	i := uint64(key)*count/(constants.LastKey+1) + 1
+	return uint32((i*(constants.LastKey+1)+count-1)/count) - 1
 }
 
 // each visits the parts of a range by buckets.
--- a/internal/keys/keys.go
+++ b/internal/keys/keys.go
@@ -8,77 +8,11 @@
 	"strings"
 	"time"
 
+	"topazshed/internal/constants"
 	"topazshed/internal/image"
 	"topazshed/internal/schema"
 )
 
-const (
-	// LastKey (key) is the greatest key of a service.
-	LastKey = 65535
-	// HoldMost (time) is the longest hold given: a change of leader fits between two renewals, and a lost holder's keys are back in 6 s.
-	HoldMost = 4500 * time.Millisecond
-	// HoldShare (percent) of the greatest allowed hold is used, so that a shorter allowed one still leaves room.
-	HoldShare = 60
-	// RenewParts (parts) of a hold after one of which it is renewed: a failed one is sent again at once, several times within the rest.
-	RenewParts = 3
-	// LeaseTime (time) is how long after a majority's last word calls may be sent: below the shortest election wait of 600 ms.
-	LeaseTime = 500 * time.Millisecond
-	// GrantWait (time) bounds a grant's call: a far link and a busy machine.
-	GrantWait = 600 * time.Millisecond
-	// ReleaseWait (time) bounds a release's call, which waits for running work.
-	ReleaseWait = 5 * time.Second
-	// ArrivalMargin (time) is how long after its caller gave up a call may still arrive: what is on its way when the caller resets its connection.
-	ArrivalMargin = 300 * time.Millisecond
-	// HoldMargin (time) is added to every hold for the steps of clocks and of this machine.
-	HoldMargin = 100 * time.Millisecond
-	// ClockSlow (percent) is how much slower a back end's clock may run.
-	ClockSlow = 2
-	// AnswerLost (time) after its wait a call without any word counts as unanswered.
-	AnswerLost = 5 * time.Second
-	// PredecessorMargin (time) after an election the calls of the leader before may still arrive: its lease, a call's wait and its way.
-	PredecessorMargin = LeaseTime + GrantWait + ArrivalMargin
-	// ProposalPause (time) passes before a record is proposed again: several commits.
-	ProposalPause = time.Second
-	// RetryPause (time) passes before a failed call is sent again.
-	RetryPause = 200 * time.Millisecond
-	// LayoutSettle (time) is how long the set of back ends must have stood still before the first layout, so that one that is just starting up has its part.
-	LayoutSettle = 1500 * time.Millisecond
-	// UnreachableAfter (time) without any taken grant or probe a holder is given up: two calls.
-	UnreachableAfter = 1300 * time.Millisecond
-	// ProbeWait (time) bounds a probe: two ways over the longest link and a busy machine.
-	ProbeWait = 400 * time.Millisecond
-	// UnreachableKept (time) is how long a given-up back end gets no keys: longer than a hold, so that it does not get its own back at once.
-	UnreachableKept = 10 * time.Second
-	// LeaveParts (parts) are what a leaving holder's keys are released in, one after the other.
-	LeaveParts = 4
-	// LeaveStep (time) lies between two such parts: all are under way in 0.75 s of the 2.5 s that a draining back end serves.
-	LeaveStep = 250 * time.Millisecond
-	// PiecesMost (spans) are what a freed span is split into at the most.
-	PiecesMost = 8
-	// HeatLeast (requests in flight) is the sum below which heat tells nothing.
-	HeatLeast = 2.0
-	// HeatUneven (requests in flight) is the least difference from the mean worth a move.
-	HeatUneven = 0.8
-	// HotShare (parts of the mean) is the load above which a back end gives keys away.
-	HotShare = 1.35
-	// IdleShare (parts of the mean) is the load below which a back end is given keys.
-	IdleShare = 0.5
-	// UnevenFor (time) is how long the load must be uneven before keys move, and between two rounds of moves: a report of heat.
-	UnevenFor = 400 * time.Millisecond
-	// MovesMost (moves) of a service are under way at once for the sake of load, at the least.
-	MovesMost = 2
-	// MovePart (parts of the mean) is the least heat worth a move.
-	MovePart = 0.05
-	// MoveDensity (parts) of the hottest bucket's density a neighbour must have to go with it: lukewarm keys stay, since their share is priced.
-	MoveDensity = 0.5
-	// SpansMost (spans) of a service above which load moves nothing and spans of differing fences are merged.
-	SpansMost = 64
-	// SpansParts (spans) a back end may have on the mean in a large service.
-	SpansParts = 5
-	// KeyPart (parts) is the weight of a range's share of keys beside that of its heat when freed keys are spread.
-	KeyPart = 0.1
-)
-
 // Options make a Granter.
 type Options struct {
 	// Most is the greatest hold that back ends take; 0 is unknown.
@@ -176,12 +110,12 @@
 	}
 	next := uint32(0)
 	for _, span := range service.Spans {
-		if span.First != next || span.Last < span.First || span.Last > LastKey {
+		if span.First != next || span.Last < span.First || span.Last > constants.LastKey {
 			return &LayoutError{Service: service.Name, Key: next}
 		}
 		next = span.Last + 1
 	}
-	if next != LastKey+1 {
+	if next != constants.LastKey+1 {
 		return &LayoutError{Service: service.Name, Key: next}
 	}
 	return nil
@@ -265,8 +199,8 @@
 
 // New makes a Granter.
 func New(options Options) *Granter {
-	hold := HoldMost
-	if share := options.Most * HoldShare / 100; options.Most > 0 && share < hold {
+	hold := constants.KeyHoldMost
+	if share := options.Most * constants.KeyHoldShare / 100; options.Most > 0 && share < hold {
 		hold = share
 	}
 	g := &Granter{hold: hold, withdrawn: map[string]uint64{}}
@@ -280,7 +214,9 @@
 }
 
 // lapse is how long after a grant's arrival its holder may hold on.
-func lapse(hold time.Duration) time.Duration { return hold*100/(100-ClockSlow) + HoldMargin }
+func lapse(hold time.Duration) time.Duration {
+	return hold*100/(100-constants.KeyClockSlow) + constants.KeyHoldMargin
+}
 
 // Step gives what is to be done now.
 func (g *Granter) Step(f Facts) Effects {
@@ -297,7 +233,7 @@
 		g.inherit(f)
 	}
 	for _, id := range slices.Sorted(maps.Keys(g.pending)) {
-		if p := g.pending[id]; f.Now >= p.sent+p.call.Wait+AnswerLost {
+		if p := g.pending[id]; f.Now >= p.sent+p.call.Wait+constants.KeyAnswerLost {
 			g.Answered(f.Now, Answer{ID: id, Outcome: Unknown})
 		}
 	}
@@ -322,7 +258,7 @@
 
 // inherit takes every span as held by its instance for as long as the calls of the leader before may have given it.
 func (g *Granter) inherit(f Facts) {
-	until := f.Now + PredecessorMargin + lapse(g.hold)
+	until := f.Now + constants.KeyPredecessorMargin + lapse(g.hold)
 	f.Table.Each("s/", func(row *schema.Row) {
 		if !strings.Contains(row.Key, "/span/") {
 			return
@@ -348,7 +284,7 @@
 	id := identity{p.call.First, p.call.Last, p.call.Instance, p.call.Fence}
 	if p.call.Kind == Release {
 		progress := m.releases[id]
-		progress.isWaiting, progress.next = false, now+RetryPause
+		progress.isWaiting, progress.next = false, now+constants.KeyRetryPause
 		if a.Outcome == Done {
 			progress.isFreed, progress.handover = true, a.Handover
 			g.released(p.call)
@@ -358,7 +294,7 @@
 	progress := m.grants[id]
 	progress.isWaiting = false
 	if p.call.Kind == Probe {
-		progress.next = now + RetryPause
+		progress.next = now + constants.KeyRetryPause
 		switch a.Outcome {
 		case Done:
 			progress.isSilent, progress.next = false, now
@@ -371,7 +307,7 @@
 	p.exposure.until = now + lapse(p.call.Hold)
 	switch a.Outcome {
 	case Done:
-		progress.isDone, progress.next = true, p.sent+g.hold/RenewParts
+		progress.isDone, progress.next = true, p.sent+g.hold/constants.KeyRenewParts
 		progress.refusals = 0
 		delete(m.failedAt, p.call.Instance)
 		delete(m.shunned, p.call.Instance)
@@ -383,12 +319,12 @@
 		p.exposure.until = now
 		m.downAt[p.call.Instance] = p.sent
 	default:
-		p.exposure.until += ArrivalMargin
+		p.exposure.until += constants.KeyArrivalMargin
 		progress.isSilent = true
 	}
-	progress.next = now + RetryPause
+	progress.next = now + constants.KeyRetryPause
 	if _, isKnown := m.failedAt[p.call.Instance]; !isKnown && a.Outcome != Refused {
-		m.failedAt[p.call.Instance] = max(p.sent, now-GrantWait)
+		m.failedAt[p.call.Instance] = max(p.sent, now-constants.KeyGrantWait)
 	}
 }
 
--- a/internal/keys/keys_test.go
+++ b/internal/keys/keys_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"topazshed/internal/constants"
 	"topazshed/internal/image"
 	"topazshed/internal/schema"
 )
@@ -157,8 +158,8 @@
 			w.run(20 * time.Second)
 			moved, total := w.moved, newHeat(w.heat).total
 			most := slices.Max(slices.Collect(maps.Values(w.loads("a"))))
-			t.Logf("share moved %.4f, most loaded %.2f of the mean, %d spans", float64(moved)/(LastKey+1), most*4/total, len(w.view.Services["a"].Spans))
-			if moved > 0 != c.isMoved || moved > (LastKey+1)/16 || most > HotShare*total/4+HeatUneven || w.cold > 0 || w.unheld() > 0 || w.breaches > 0 {
+			t.Logf("share moved %.4f, most loaded %.2f of the mean, %d spans", float64(moved)/(constants.LastKey+1), most*4/total, len(w.view.Services["a"].Spans))
+			if moved > 0 != c.isMoved || moved > (constants.LastKey+1)/16 || most > constants.KeyHotShare*total/4+constants.KeyHeatUneven || w.cold > 0 || w.unheld() > 0 || w.breaches > 0 {
 				t.Fatalf("moved %d, most %.1f of %.1f, %d without handover, %d not held", moved, most, total, w.cold, w.unheld())
 			}
 			w.run(20 * time.Second)
@@ -185,8 +186,8 @@
 	w.list(h)
 	w.run(15 * time.Second)
 	load, mean := w.loads("a")[h.row.Instance], newHeat(w.heat).total/4
-	t.Logf("share moved %.4f, load %.2f of the mean", float64(w.moved)/(LastKey+1), load/mean)
-	if load < IdleShare*mean || w.moved > (LastKey+1)/8 || w.unheld() > 0 {
+	t.Logf("share moved %.4f, load %.2f of the mean", float64(w.moved)/(constants.LastKey+1), load/mean)
+	if load < constants.KeyIdleShare*mean || w.moved > (constants.LastKey+1)/8 || w.unheld() > 0 {
 		t.Fatalf("load %.1f of a mean of %.1f, %d keys moved", load, mean, w.moved)
 	}
 }
@@ -196,7 +197,7 @@
 	for _, c := range []struct {
 		age   time.Duration
 		isCut bool
-	}{{0, false}, {LeaseTime - ms, false}, {LeaseTime, true}, {time.Minute, true}} {
+	}{{0, false}, {constants.KeyLeaseTime - ms, false}, {constants.KeyLeaseTime, true}, {time.Minute, true}} {
 		f := w.facts()
 		f.Now += 3 * time.Second
 		f.LeaseAt = f.Now - c.age
@@ -219,7 +220,7 @@
 }
 
 func TestHoldIsBounded(t *testing.T) {
-	for _, c := range []struct{ most, hold time.Duration }{{0, HoldMost}, {time.Minute, HoldMost}, {10 * time.Second, HoldMost}, {5 * time.Second, 3 * time.Second}} {
+	for _, c := range []struct{ most, hold time.Duration }{{0, constants.KeyHoldMost}, {time.Minute, constants.KeyHoldMost}, {10 * time.Second, constants.KeyHoldMost}, {5 * time.Second, 3 * time.Second}} {
 		if g := New(Options{Most: c.most}); g.hold != c.hold {
 			t.Fatalf("the hold is %v of %v", g.hold, c.most)
 		}
@@ -233,10 +234,10 @@
 		isWhole bool
 	}{
 		{nil, false},
-		{[]*schema.KeySpan{span(0, LastKey)}, true},
-		{[]*schema.KeySpan{span(0, 9), span(10, LastKey)}, true},
-		{[]*schema.KeySpan{span(0, 9), span(11, LastKey)}, false},
-		{[]*schema.KeySpan{span(0, 9), span(9, LastKey)}, false},
+		{[]*schema.KeySpan{span(0, constants.LastKey)}, true},
+		{[]*schema.KeySpan{span(0, 9), span(10, constants.LastKey)}, true},
+		{[]*schema.KeySpan{span(0, 9), span(11, constants.LastKey)}, false},
+		{[]*schema.KeySpan{span(0, 9), span(9, constants.LastKey)}, false},
 		{[]*schema.KeySpan{span(0, 9)}, false},
 	} {
 		if err := Check(&image.Service{Spans: c.spans}); (err == nil) != c.isWhole {
--- a/internal/keys/step.go
+++ b/internal/keys/step.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"topazshed/internal/constants"
 	"topazshed/internal/image"
 	"topazshed/internal/schema"
 )
@@ -93,8 +94,8 @@
 		}
 	}
 	for instance, at := range s.m.failedAt {
-		if s.f.Now-at >= UnreachableAfter {
-			s.m.shunned[instance] = s.f.Now + UnreachableKept
+		if s.f.Now-at >= constants.KeyUnreachableAfter {
+			s.m.shunned[instance] = s.f.Now + constants.KeyUnreachableKept
 			delete(s.m.failedAt, instance)
 		}
 	}
@@ -159,13 +160,13 @@
 		s.m.hasEligible, s.m.eligibleAt, s.m.eligible = true, s.f.Now, len(s.eligible)
 	}
 	key := image.SpanKey(s.service.Name, 0)
-	if p, isThere := s.m.proposed[key]; s.f.Now-s.m.eligibleAt < LayoutSettle || isThere && s.f.Now-p.at < ProposalPause {
+	if p, isThere := s.m.proposed[key]; s.f.Now-s.m.eligibleAt < constants.KeyLayoutSettle || isThere && s.f.Now-p.at < constants.KeyProposalPause {
 		return
 	}
 	count := uint32(len(s.eligible))
 	record := &schema.Record{Kind: schema.RecordKind_RECORD_ROWS, Guards: []*schema.Guard{{Key: key}}, Reason: "lay out keys"}
 	for i, instance := range s.eligible {
-		first, last := uint32(i)*(LastKey+1)/count, uint32(i+1)*(LastKey+1)/count-1
+		first, last := uint32(i)*(constants.LastKey+1)/count, uint32(i+1)*(constants.LastKey+1)/count-1
 		record.Rows = append(record.Rows, image.Put(image.SpanKey(s.service.Name, first),
 			&schema.KeySpan{Service: s.service.Name, First: first, Last: last, Instance: instance, Fence: 1}))
 	}
@@ -183,7 +184,7 @@
 
 func (s *step) isBusy(r row) bool {
 	p, isThere := s.m.proposed[r.key]
-	return isThere && p.index == r.index && s.f.Now-p.at < ProposalPause
+	return isThere && p.index == r.index && s.f.Now-p.at < constants.KeyProposalPause
 }
 
 func (s *step) isWithdrawn(r row) bool {
@@ -258,7 +259,7 @@
 	if progress := s.m.releases[r.identity()]; progress != nil && progress.isFreed && r.Releasing {
 		handover = progress.handover
 	} else {
-		count = min(1+int(weight*float64(len(s.eligible))*LeaveParts), len(s.eligible), PiecesMost, int(r.width()))
+		count = min(1+int(weight*float64(len(s.eligible))*constants.KeyLeaveParts), len(s.eligible), constants.KeyPiecesMost, int(r.width()))
 	}
 	var spans []*schema.KeySpan
 	for first, i := r.First, count; i > 0; i-- {
@@ -285,7 +286,7 @@
 	s.effects.Calls = append(s.effects.Calls, call)
 }
 
-func (s *step) hasLease() bool { return s.f.Now-s.f.LeaseAt < LeaseTime }
+func (s *step) hasLease() bool { return s.f.Now-s.f.LeaseAt < constants.KeyLeaseTime }
 
 func (s *step) grant(r row, backend *schema.Backend) {
 	id := r.identity()
@@ -304,12 +305,12 @@
 	}
 	p.isWaiting = true
 	if p.isSilent {
-		s.send(Call{Kind: Probe, Instance: r.Instance, Address: backend.Address, First: r.First, Last: r.Last, Fence: r.Fence, Wait: ProbeWait}, nil)
+		s.send(Call{Kind: Probe, Instance: r.Instance, Address: backend.Address, First: r.First, Last: r.Last, Fence: r.Fence, Wait: constants.KeyProbeWait}, nil)
 		return
 	}
 	e := &exposure{service: s.service.Name, instance: r.Instance, address: backend.Address, fence: r.Fence, ranges: [][2]uint32{{r.First, r.Last}}, sent: s.f.Now, isOpen: true}
 	s.g.exposures = append(s.g.exposures, e)
-	s.send(Call{Kind: Grant, Instance: r.Instance, Address: backend.Address, First: r.First, Last: r.Last, Fence: r.Fence, Hold: s.g.hold, Handover: r.Handover, Wait: GrantWait}, e)
+	s.send(Call{Kind: Grant, Instance: r.Instance, Address: backend.Address, First: r.First, Last: r.Last, Fence: r.Fence, Hold: s.g.hold, Handover: r.Handover, Wait: constants.KeyGrantWait}, e)
 }
 
 func (s *step) release(r row, backend *schema.Backend) {
@@ -323,7 +324,7 @@
 		return
 	}
 	p.isWaiting = true
-	s.send(Call{Kind: Release, Instance: r.Instance, Address: backend.Address, First: r.First, Last: r.Last, Fence: r.Fence, Wait: ReleaseWait}, nil)
+	s.send(Call{Kind: Release, Instance: r.Instance, Address: backend.Address, First: r.First, Last: r.Last, Fence: r.Fence, Wait: constants.KeyReleaseWait}, nil)
 }
 
 // free proposes to take a part of a span off its holder.
@@ -394,8 +395,8 @@
 			s.m.leaving[backend.Instance] = start
 		}
 		due := start.width
-		if steps := uint32((s.f.Now-start.at)/LeaveStep) + 1; isGentle && steps < LeaveParts {
-			due = (start.width*steps + LeaveParts - 1) / LeaveParts
+		if steps := uint32((s.f.Now-start.at)/constants.KeyLeaveStep) + 1; isGentle && steps < constants.KeyLeaveParts {
+			due = (start.width*steps + constants.KeyLeaveParts - 1) / constants.KeyLeaveParts
 		}
 		moved += start.width - left
 		for _, r := range s.rows {
@@ -418,7 +419,9 @@
 	return !r.Releasing && p != nil && p.isDone && !p.isBarred && !s.isBusy(r) && !s.isWithdrawn(r)
 }
 
-func (s *step) spansMost() int { return max(SpansMost, SpansParts*len(s.eligible)) }
+func (s *step) spansMost() int {
+	return max(constants.KeySpansMost, constants.KeySpansParts*len(s.eligible))
+}
 
 // piece is a part of a span that stays, or that goes to a target.
 type piece struct {
@@ -436,7 +439,7 @@
 			moves++
 		}
 	}
-	if s.heat.total < HeatLeast || len(s.eligible) < 2 || len(s.rows) > s.spansMost() {
+	if s.heat.total < constants.KeyHeatLeast || len(s.eligible) < 2 || len(s.rows) > s.spansMost() {
 		s.m.isUneven = false
 		return
 	}
@@ -444,8 +447,8 @@
 	byLoad := func(a, b string) int { return cmp.Or(cmp.Compare(loads[a], loads[b]), cmp.Compare(a, b)) }
 	ends := func() (string, string, bool) {
 		least, most := slices.MinFunc(s.eligible, byLoad), slices.MaxFunc(s.eligible, byLoad)
-		isHot := loads[most] > HotShare*mean && loads[most]-mean >= HeatUneven
-		isIdle := loads[least] < IdleShare*mean && mean-loads[least] >= HeatUneven
+		isHot := loads[most] > constants.KeyHotShare*mean && loads[most]-mean >= constants.KeyHeatUneven
+		isIdle := loads[least] < constants.KeyIdleShare*mean && mean-loads[least] >= constants.KeyHeatUneven
 		return least, most, isHot || isIdle
 	}
 	_, _, isUneven := ends()
@@ -453,16 +456,16 @@
 		s.m.isUneven, s.m.unevenAt = isUneven, s.f.Now
 		return
 	}
-	if s.f.Now-s.m.unevenAt < UnevenFor {
+	if s.f.Now-s.m.unevenAt < constants.KeyUnevenFor {
 		return
 	}
 	plans := map[uint32][]piece{}
-	for ; moves < max(MovesMost, len(s.eligible)); moves++ {
+	for ; moves < max(constants.KeyMovesMost, len(s.eligible)); moves++ {
 		least, most, isStill := ends()
 		if !isStill {
 			break
 		}
-		amount := min((loads[most]-loads[least])/2, max(mean-loads[least], mean*MovePart))
+		amount := min((loads[most]-loads[least])/2, max(mean-loads[least], mean*constants.KeyMovePart))
 		moved, isFound := s.carve(plans, most, least, amount, mean)
 		if !isFound {
 			break
@@ -517,7 +520,7 @@
 		whole := plans[hot.r.First][hot.at]
 		isFitting := func(a, b uint32) bool {
 			part := s.heat.sum(a, b)
-			return part >= MoveDensity*hot.density*float64(b-a+1) && s.heat.sum(first, last)+part <= amount
+			return part >= constants.KeyMoveDensity*hot.density*float64(b-a+1) && s.heat.sum(first, last)+part <= amount
 		}
 		if last == hot.last {
 			for hasGrown := true; hasGrown; {
@@ -535,7 +538,7 @@
 			}
 		}
 		moved := s.heat.sum(first, last)
-		if moved < MovePart*mean {
+		if moved < constants.KeyMovePart*mean {
 			continue
 		}
 		var parts []piece
--- a/internal/keys/world_test.go
+++ b/internal/keys/world_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"topazshed/internal/constants"
 	"topazshed/internal/image"
 	"topazshed/internal/schema"
 )
@@ -81,9 +82,9 @@
 
 func newWorld(t *testing.T, seed int64, count int, services ...string) *world {
 	w := &world{t: t, random: rand.New(rand.NewSource(seed)), now: time.Minute, table: image.NewTable(), view: image.NewView(), services: services, leader: 0, electedAt: time.Minute}
-	w.cells = []uint32{0, 1, LastKey}
+	w.cells = []uint32{0, 1, constants.LastKey}
 	for range 37 {
-		w.cells = append(w.cells, uint32(w.random.Intn(LastKey+1)))
+		w.cells = append(w.cells, uint32(w.random.Intn(constants.LastKey+1)))
 	}
 	slices.Sort(w.cells)
 	for range 3 {
@@ -196,7 +197,7 @@
 	}
 	w.at(sent+call.Wait, func() { answer(Answer{Outcome: Unknown}) })
 	arrival := sent + way()
-	if arrival > sent+call.Wait+ArrivalMargin-stride || w.isRough && w.random.Intn(25) == 0 {
+	if arrival > sent+call.Wait+constants.KeyArrivalMargin-stride || w.isRough && w.random.Intn(25) == 0 {
 		return
 	}
 	w.at(arrival, func() {
