Keys: load leaves a holder far above the mean at any number of spans; spans are merged

Change: neighbours of one holder merge whatever their fences, runs in one record; above the limit a holder with over twice the mean still gives keys away; in the calm, above three quarters of the limit, one small lukewarm span at a time goes to a neighbour's holder if loads stay near the mean.

--- a/internal/constants/keys.go
+++ b/internal/constants/keys.go
@@ -61,8 +61,18 @@
 	KeyMovePart = 0.05
 	// KeyMoveDensity (parts) of the hottest bucket's density a neighbour must have to go with it: lukewarm keys stay, since their share is priced.
 	KeyMoveDensity = 0.5
-	// KeySpansMost (spans) of a service above which load moves nothing and spans of differing fences are merged.
+	// KeySpansMost (spans) of a service above which only a holder far above the mean gives keys away: each span is granted again and again.
 	KeySpansMost = 64
+	// KeyFarShare (parts of the mean) is the load above which a back end gives keys away however many spans there are.
+	KeyFarShare = 2
+	// KeyGatherParts (parts) of the greatest number of spans one of which is kept free in the calm, so that load may move at once when it must.
+	KeyGatherParts = 4
+	// KeyGatherPause (time) lies between two spans that are gathered, and after the last move for load: three reports of heat.
+	KeyGatherPause = 1800 * time.Millisecond
+	// KeyGatherWarmth (parts of the mean) is the most heat of a span that is gathered: what is hotter was cut out on purpose.
+	KeyGatherWarmth = 0.1
+	// KeyGatherShare (parts of the mean) is the load that gathering gives a back end at the most, and its inverse what it leaves at the least: far inside what moves load.
+	KeyGatherShare = 1.15
 	// KeySpansParts (spans) a back end may have on the mean in a large service.
 	KeySpansParts = 5
 	// KeyWidthPart (parts) is the weight of a range's share of keys beside that of its heat when freed keys are spread.
--- a/internal/keys/step.go
+++ b/internal/keys/step.go
@@ -439,19 +439,27 @@
 			moves++
 		}
 	}
-	if s.heat.total < constants.KeyHeatLeast || len(s.eligible) < 2 || len(s.rows) > s.spansMost() {
+	if s.heat.total < constants.KeyHeatLeast || len(s.eligible) < 2 {
 		s.m.isUneven = false
 		return
 	}
 	mean := s.heat.total / float64(len(s.eligible))
+	isCrowded := len(s.rows) > s.spansMost()
 	byLoad := func(a, b string) int { return cmp.Or(cmp.Compare(loads[a], loads[b]), cmp.Compare(a, b)) }
 	ends := func() (string, string, bool) {
 		least, most := slices.MinFunc(s.eligible, byLoad), slices.MaxFunc(s.eligible, byLoad)
+		if isCrowded {
+			return least, most, loads[most] > constants.KeyFarShare*mean && loads[most]-mean >= constants.KeyHeatUneven
+		}
 		isHot := loads[most] > constants.KeyHotShare*mean && loads[most]-mean >= constants.KeyHeatUneven
 		isIdle := loads[least] < constants.KeyIdleShare*mean && mean-loads[least] >= constants.KeyHeatUneven
 		return least, most, isHot || isIdle
 	}
 	_, _, isUneven := ends()
+	if !isUneven && !s.m.isUneven {
+		s.gather(loads, mean, moves)
+		return
+	}
 	if !isUneven || !s.m.isUneven {
 		s.m.isUneven, s.m.unevenAt = isUneven, s.f.Now
 		return
@@ -555,17 +563,45 @@
 	return 0, false
 }
 
-// merge joins neighbours of one holder.
-func (s *step) merge() {
-	for i := 1; i < len(s.rows); i++ {
-		a, b := s.rows[i-1], s.rows[i]
-		if a.Instance != b.Instance || a.Last+1 != b.First || a.Fence != b.Fence && len(s.rows) <= s.spansMost() || !s.isSettled(a) || !s.isSettled(b) {
+// gather gives a small lukewarm span to a neighbour's holder, one after the other in the calm, so that hot ranges may be cut out again.
+func (s *step) gather(loads map[string]float64, mean float64, moves int) {
+	if len(s.rows)*constants.KeyGatherParts <= s.spansMost()*(constants.KeyGatherParts-1) || moves > 0 || s.f.Now-s.m.unevenAt < constants.KeyGatherPause {
+		return
+	}
+	best, target := -1, ""
+	for i, r := range s.rows {
+		warmth := s.heat.sum(r.First, r.Last)
+		if !s.isSettled(r) || warmth > constants.KeyGatherWarmth*mean || best >= 0 && r.width() >= s.rows[best].width() {
 			continue
 		}
-		if _, isLeaving := s.m.leaving[a.Instance]; isLeaving {
-			continue
+		for _, side := range []int{i - 1, i + 1} {
+			if side < 0 || side >= len(s.rows) || !s.isSettled(s.rows[side]) || s.rows[side].Instance == r.Instance || !slices.Contains(s.eligible, s.rows[side].Instance) {
+				continue
+			}
+			from, to := loads[r.Instance], loads[s.rows[side].Instance]
+			if to+warmth <= max(from, constants.KeyGatherShare*mean) && from-warmth >= min(to, mean/constants.KeyGatherShare) {
+				best, target = i, s.rows[side].Instance
+			}
 		}
-		s.propose("merge spans", 0, []row{a, b}, []*schema.KeySpan{{Service: s.service.Name, First: a.First, Last: b.Last, Instance: a.Instance, Fence: max(a.Fence, b.Fence)}})
-		return
+	}
+	if best >= 0 {
+		s.free(s.rows[best], s.rows[best].First, s.rows[best].Last, target, "gather spans")
+		s.m.unevenAt = s.f.Now
+	}
+}
+
+// merge joins neighbours of one holder, also of differing fences: the greatest is above all that it has seen on any of them.
+func (s *step) merge() {
+	for i := 0; i < len(s.rows); {
+		a := s.rows[i]
+		_, isLeaving := s.m.leaving[a.Instance]
+		end, fence := i+1, a.Fence
+		for ; !isLeaving && s.isSettled(a) && end < len(s.rows) && s.rows[end].Instance == a.Instance && s.isSettled(s.rows[end]); end++ {
+			fence = max(fence, s.rows[end].Fence)
+		}
+		if end-i > 1 {
+			s.propose("merge spans", 0, s.rows[i:end], []*schema.KeySpan{{Service: s.service.Name, First: a.First, Last: s.rows[end-1].Last, Instance: a.Instance, Fence: fence}})
+		}
+		i = end
 	}
 }
