Keys: silence is kept by back end; a call without a connection was not taken

Cause: a dark holder of several spans left one grant unanswered, and its other spans were granted after that, each of which the keys then had to wait out; a call whose connection never came up counted as perhaps taken. Change: after an unanswered grant only one probe at a time goes to that back end for all its spans; renewals of the others wait while a grant is unanswered for 0.2 s; outcome Unsent (the client never had a connection) frees at once what that call might have given, and still makes the back end silent. Ruled out: the same by probes alone [], which let the renewals of the first 0.6 s out. The simulated world answers Unsent for half of the lost grants, so that the rule of one holder is tried with it.

--- a/internal/constants/keys.go
+++ b/internal/constants/keys.go
@@ -15,6 +15,8 @@
 	KeyLeaseTime = 500 * time.Millisecond
 	// KeyGrantWait (time) bounds a grant's call: a far link and a busy machine.
 	KeyGrantWait = 600 * time.Millisecond
+	// KeyDoubt (time) without an answer to a grant after which its back end's other spans are not renewed before that answer: twice there and back over a far link, and a busy machine.
+	KeyDoubt = 200 * time.Millisecond
 	// KeyReleaseWait (time) bounds a release's call, which waits for running work.
 	KeyReleaseWait = 5 * time.Second
 	// KeyArrivalMargin (time) is how long after its caller gave up a call may still arrive: what is on its way when the caller resets its connection.
--- a/internal/keys/keys.go
+++ b/internal/keys/keys.go
@@ -42,8 +42,8 @@
 const (
 	Grant Kind = iota + 1
 	Release
-	// Probe only asks whether the back end can be reached; it gives nothing. After a grant without answer it goes before the next one,
-	// so that a holder that is out of reach is not given its keys longer and longer.
+	// Probe only asks whether the back end can be reached; it gives nothing. After a grant without answer it goes before the next one of
+	// any of its spans, so that a holder that is out of reach is not given its keys longer and longer.
 	Probe
 )
 
@@ -75,6 +75,8 @@
 	Failed
 	// Unknown tells that there was no answer.
 	Unknown
+	// Unsent tells that nothing was written, since no connection came up: surely not taken, but whoever is there may go on.
+	Unsent
 )
 
 // Answer ends a call; each call must get one.
@@ -149,13 +151,18 @@
 	next      time.Duration
 	isWaiting bool
 	isDone    bool
-	isSilent  bool
 	refusals  uint64
 	isBarred  bool
 	handover  string
 	isFreed   bool
 }
 
+// silence is a back end that left a grant unanswered: only probes go to it until one comes through.
+type silence struct {
+	next      time.Duration
+	isWaiting bool
+}
+
 type proposal struct {
 	index uint64
 	at    time.Duration
@@ -178,6 +185,7 @@
 	targets     map[uint32]string
 	failedAt    map[string]time.Duration
 	downAt      map[string]time.Duration
+	silent      map[string]*silence
 	shunned     map[string]time.Duration
 	leaving     map[string]departure
 	unevenAt    time.Duration
@@ -247,7 +255,7 @@
 		m := g.services[name]
 		if m == nil {
 			m = &memory{proposed: map[string]proposal{}, grants: map[identity]*progress{}, releases: map[identity]*progress{},
-				targets: map[uint32]string{}, failedAt: map[string]time.Duration{}, downAt: map[string]time.Duration{}, shunned: map[string]time.Duration{}, leaving: map[string]departure{}}
+				targets: map[uint32]string{}, failedAt: map[string]time.Duration{}, downAt: map[string]time.Duration{}, silent: map[string]*silence{}, shunned: map[string]time.Duration{}, leaving: map[string]departure{}}
 			g.services[name] = m
 		}
 		s := &step{g: g, m: m, f: f, service: service, effects: &effects}
@@ -291,18 +299,20 @@
 		}
 		return
 	}
-	progress := m.grants[id]
-	progress.isWaiting = false
 	if p.call.Kind == Probe {
-		progress.next = now + constants.KeyRetryPause
-		switch a.Outcome {
-		case Done:
-			progress.isSilent, progress.next = false, now
-		case Failed:
+		switch quiet := m.silent[p.call.Instance]; {
+		case a.Outcome == Done:
+			delete(m.silent, p.call.Instance)
+		case quiet != nil:
+			quiet.isWaiting, quiet.next = false, now+constants.KeyRetryPause
+		}
+		if a.Outcome == Failed {
 			m.downAt[p.call.Instance] = p.sent
 		}
 		return
 	}
+	progress := m.grants[id]
+	progress.isWaiting = false
 	p.exposure.isOpen = false
 	p.exposure.until = now + lapse(p.call.Hold)
 	switch a.Outcome {
@@ -318,9 +328,12 @@
 	case Failed:
 		p.exposure.until = now
 		m.downAt[p.call.Instance] = p.sent
+	case Unsent:
+		p.exposure.until = now
+		m.hush(p.call.Instance, now)
 	default:
 		p.exposure.until += constants.KeyArrivalMargin
-		progress.isSilent = true
+		m.hush(p.call.Instance, now)
 	}
 	progress.next = now + constants.KeyRetryPause
 	if _, isKnown := m.failedAt[p.call.Instance]; !isKnown && a.Outcome != Refused {
@@ -328,6 +341,12 @@
 	}
 }
 
+func (m *memory) hush(instance string, now time.Duration) {
+	if m.silent[instance] == nil {
+		m.silent[instance] = &silence{next: now + constants.KeyRetryPause}
+	}
+}
+
 // released takes a range off what its holder may hold: it refuses every lower fence from now on.
 func (g *Granter) released(call Call) {
 	for _, e := range g.exposures {
--- a/internal/keys/step.go
+++ b/internal/keys/step.go
@@ -32,6 +32,7 @@
 	eligible []string
 	heat     heat
 	loads    map[string]float64
+	doubted  map[string]bool
 }
 
 func (s *step) run() {
@@ -88,6 +89,7 @@
 	maps.DeleteFunc(s.m.downAt, func(instance string, _ time.Duration) bool {
 		return s.service.Backend(instance) == nil && !slices.ContainsFunc(s.rows, func(r row) bool { return r.Instance == instance })
 	})
+	maps.DeleteFunc(s.m.silent, func(instance string, _ *silence) bool { return s.service.Backend(instance) == nil })
 	for first := range s.m.targets {
 		if isReleasing, isThere := firsts[first]; isThere && !isReleasing && len(s.m.proposed) == 0 {
 			delete(s.m.targets, first)
@@ -303,16 +305,36 @@
 	if p.isWaiting || s.f.Now < p.next || !s.hasLease() || s.isWithdrawn(r) || s.isShared(backend) {
 		return
 	}
-	p.isWaiting = true
-	if p.isSilent {
+	if quiet := s.m.silent[r.Instance]; quiet != nil {
+		if quiet.isWaiting || s.f.Now < quiet.next {
+			return
+		}
+		quiet.isWaiting = true
 		s.send(Call{Kind: Probe, Instance: r.Instance, Address: backend.Address, First: r.First, Last: r.Last, Fence: r.Fence, Wait: constants.KeyProbeWait}, nil)
 		return
 	}
+	if p.isDone && s.isDoubted(r.Instance) {
+		return
+	}
+	p.isWaiting = true
 	e := &exposure{service: s.service.Name, instance: r.Instance, address: backend.Address, fence: r.Fence, ranges: [][2]uint32{{r.First, r.Last}}, sent: s.f.Now, isOpen: true}
 	s.g.exposures = append(s.g.exposures, e)
 	s.send(Call{Kind: Grant, Instance: r.Instance, Address: backend.Address, First: r.First, Last: r.Last, Fence: r.Fence, Hold: s.g.hold, Handover: r.Handover, Wait: constants.KeyGrantWait}, e)
 }
 
+// isDoubted tells that an instance has left a grant unanswered for so long that its other spans had better wait for that answer.
+func (s *step) isDoubted(instance string) bool {
+	if s.doubted == nil {
+		s.doubted = map[string]bool{}
+		for _, p := range s.g.pending {
+			if p.call.Kind == Grant && p.call.Service == s.service.Name && s.f.Now-p.sent >= constants.KeyDoubt {
+				s.doubted[p.call.Instance] = true
+			}
+		}
+	}
+	return s.doubted[instance]
+}
+
 func (s *step) release(r row, backend *schema.Backend) {
 	id := r.identity()
 	p := s.m.releases[id]
--- a/internal/keys/world_test.go
+++ b/internal/keys/world_test.go
@@ -181,7 +181,7 @@
 // send carries a call to whatever process has its address by then.
 func (w *world) send(node int, call Call) {
 	w.calls++
-	sent, isAnswered, caller := w.now, false, w.nodes[node]
+	sent, isAnswered, isLost, caller := w.now, false, false, w.nodes[node]
 	answer := func(a Answer) {
 		if !isAnswered {
 			isAnswered = true
@@ -195,9 +195,15 @@
 		}
 		return 1*ms + w.span(30*ms)
 	}
-	w.at(sent+call.Wait, func() { answer(Answer{Outcome: Unknown}) })
+	w.at(sent+call.Wait, func() {
+		if isLost && call.Kind == Grant && call.ID%2 == 0 { // no connection came up
+			answer(Answer{Outcome: Unsent})
+		}
+		answer(Answer{Outcome: Unknown})
+	})
 	arrival := sent + way()
 	if arrival > sent+call.Wait+constants.KeyArrivalMargin-stride || w.isRough && w.random.Intn(25) == 0 {
+		isLost = true
 		return
 	}
 	w.at(arrival, func() {
@@ -217,6 +223,7 @@
 		case h == nil:
 			reply(Answer{Outcome: Failed})
 		case h.cutUntil > w.now:
+			isLost = true
 		case call.Kind == Probe:
 			reply(Answer{Outcome: Done})
 		case call.Kind == Grant:
