Keys: the first layout gives each back end three spans in turn

Cause: busy keys sit close together, and one span each gave most of them to one or two holders until the heat was known and moves had repaired it: most refusals of seconds 0 to 4, and moves of just the busiest keys. Change: as many spans each as fit under the calm's number of spans, three at the most. Seen failing first: TestFirstLayoutDividesABusyRange.

--- a/internal/constants/keys.go
+++ b/internal/constants/keys.go
@@ -35,6 +35,8 @@
 	KeyRetryPause = 200 * time.Millisecond
 	// KeyLayoutSettle (time) is how long the set of back ends must have stood still before the first layout, so that one that is just starting up has its part.
 	KeyLayoutSettle = 1500 * time.Millisecond
+	// KeyStripes (spans) of a back end in the first layout, if there is room: busy keys sit close together, so one span each would give most of them to one.
+	KeyStripes = 3
 	// KeyUnreachableAfter (time) without any taken grant or probe a holder is given up: two calls.
 	KeyUnreachableAfter = 1300 * time.Millisecond
 	// KeyProbeWait (time) bounds a probe: two ways over the longest link and a busy machine.
--- a/internal/keys/spans_test.go
+++ b/internal/keys/spans_test.go
@@ -106,3 +106,21 @@
 		t.Fatalf("%d spans, %d keys moved, %d breaches", w.spanCount(), w.moved, w.breaches)
 	}
 }
+
+func TestFirstLayoutDividesABusyRange(t *testing.T) {
+	for _, c := range []struct{ holders, spans, most int }{{1, 1, 100}, {2, 6, 95}, {8, 24, 50}, {16, 48, 30}, {40, 120, 15}} {
+		w := newWorld(t, 5, c.holders, "a")
+		w.run(3 * time.Second)
+		for i := range w.heat {
+			w.heat[i] = 0
+		}
+		for i := 40; i < 64; i++ {
+			w.heat[i] = 1
+		}
+		most := slices.Max(slices.Collect(maps.Values(w.loads("a")))) * 100 / newHeat(w.heat).total
+		t.Logf("%d holders: %d spans, the most loaded has %.0f percent", c.holders, w.spanCount(), most)
+		if w.spanCount() != c.spans || int(most) > c.most || w.unheld() > 0 {
+			t.Errorf("%d holders: %d spans, the most loaded has %.0f percent, %d keys not held", c.holders, w.spanCount(), most, w.unheld())
+		}
+	}
+}
--- a/internal/keys/step.go
+++ b/internal/keys/step.go
@@ -165,12 +165,16 @@
 	if p, isThere := s.m.proposed[key]; s.f.Now-s.m.eligibleAt < constants.KeyLayoutSettle || isThere && s.f.Now-p.at < constants.KeyProposalPause {
 		return
 	}
-	count := uint32(len(s.eligible))
+	stripes := 1
+	if len(s.eligible) > 1 {
+		stripes = max(1, min(constants.KeyStripes, s.spansMost()*(constants.KeyGatherParts-1)/constants.KeyGatherParts/len(s.eligible)))
+	}
+	count := uint32(len(s.eligible) * stripes)
 	record := &schema.Record{Kind: schema.RecordKind_RECORD_ROWS, Guards: []*schema.Guard{{Key: key}}, Reason: "lay out keys"}
-	for i, instance := range s.eligible {
-		first, last := uint32(i)*(constants.LastKey+1)/count, uint32(i+1)*(constants.LastKey+1)/count-1
+	for i := range count {
+		first, last := i*(constants.LastKey+1)/count, (i+1)*(constants.LastKey+1)/count-1
 		record.Rows = append(record.Rows, image.Put(image.SpanKey(s.service.Name, first),
-			&schema.KeySpan{Service: s.service.Name, First: first, Last: last, Instance: instance, Fence: 1}))
+			&schema.KeySpan{Service: s.service.Name, First: first, Last: last, Instance: s.eligible[int(i)%len(s.eligible)], Fence: 1}))
 	}
 	s.m.proposed[key] = proposal{at: s.f.Now}
 	s.effects.Records = append(s.effects.Records, record)
