--- a/internal/node/routed.go
+++ b/internal/node/routed.go
@@ -28,6 +28,10 @@
 	ListRate    float64
 	StopGrace   time.Duration
 	ResolveMost time.Duration
+	// Quiet is how long after trouble a calm machine must keep every bound again; 0 is unknown.
+	Quiet time.Duration
+	// DrainWithin is how long after the list told of it a leaving back end may still get requests; 0 is unknown.
+	DrainWithin time.Duration
 }
 
 // Seam is how the outside of a routed fleet is spoken to: names, formats and calls; it decides nothing.
