Keys are held in the regions that their routes' homes allow

Cause: keys were spread over all back ends of a service; a route with home regions may not use a holder elsewhere, so each request for such a key was refused for ever. Change: eligible are the instances that the most routes with homes allow; holders elsewhere give their keys up step by step when routes change. Without homes nothing differs.

--- a/internal/keys/keys.go
+++ b/internal/keys/keys.go
@@ -203,6 +203,8 @@
 	services  map[string]*memory
 	// withdrawn are the rows, at an index, whose holder may lose them by a record that is still on its way; they get no more grants.
 	withdrawn map[string]uint64
+	homes     map[string]*homes
+	head      *schema.CatalogHead
 }
 
 // New makes a Granter.
@@ -218,6 +220,7 @@
 
 func (g *Granter) forget() {
 	g.isLeading = false
+	g.homes = nil
 	g.pending, g.exposures, g.services = map[uint64]*pending{}, nil, map[string]*memory{}
 }
 
@@ -246,6 +249,9 @@
 		}
 	}
 	g.exposures = slices.DeleteFunc(g.exposures, func(e *exposure) bool { return !e.isOpen && e.until <= f.Now || len(e.ranges) == 0 })
+	if g.homes == nil || g.head != f.View.Head {
+		g.homes, g.head = homesOf(f.View), f.View.Head
+	}
 	var effects Effects
 	for _, name := range slices.Sorted(maps.Keys(f.View.Services)) {
 		service := f.View.Services[name]
--- a/internal/keys/step.go
+++ b/internal/keys/step.go
@@ -127,7 +127,8 @@
 }
 
 func (s *step) listEligible() []string {
-	var warm, cold []string
+	var warm, cold, all []string
+	isColdOne := map[string]bool{}
 	for _, backend := range s.service.Backends {
 		if backend.State != schema.BackendState_BACKEND_READY || backend.Failing || s.f.Dead(backend.Instance) || s.isEmptied(backend) || s.isShared(backend) {
 			continue
@@ -135,10 +136,14 @@
 		if _, isShunned := s.m.shunned[backend.Instance]; isShunned {
 			continue
 		}
-		if backend.Cold || s.f.View.Districts[backend.District].GetSettling() {
-			cold = append(cold, backend.Instance)
+		all = append(all, backend.Instance)
+		isColdOne[backend.Instance] = backend.Cold || s.f.View.Districts[backend.District].GetSettling()
+	}
+	for _, instance := range s.atHome(all) {
+		if isColdOne[instance] {
+			cold = append(cold, instance)
 		} else {
-			warm = append(warm, backend.Instance)
+			warm = append(warm, instance)
 		}
 	}
 	if len(warm) == 0 {
@@ -392,7 +397,7 @@
 // mustLeave tells whether a holder is to lose all its keys, and whether a part at a time.
 func (s *step) mustLeave(backend *schema.Backend) (bool, bool) {
 	_, isShunned := s.m.shunned[backend.Instance]
-	return isShunned || backend.State == schema.BackendState_BACKEND_DRAINING || s.isEmptied(backend), !isShunned
+	return isShunned || backend.State == schema.BackendState_BACKEND_DRAINING || s.isEmptied(backend) || s.isAbroad(backend), !isShunned
 }
 
 func (s *step) leave() {
