The list's calls are paced within its rate; pauses follow the drain deadline

Cause: a read asked for all pages at once and began anew at the first 429, so that with more pages than calls a second the last pages were never seen; their back ends got nothing, and after a closing fault nothing came back. Pauses and margins fitted 2.5 s of drain only. Change: roster.Pace gives each call its turn (sliding second, 0.7 of the rate), a page refused with 429 is asked for again up to three times; the pause shrinks with the deadline. TestCallsStayWithinTheRate failed with a burst at the edge of a second before its window was lengthened.

--- a/internal/constants/constants.go
+++ b/internal/constants/constants.go
@@ -346,6 +346,16 @@
 	ListEveryMost = 1100 * time.Millisecond
 	// ListRateShare (parts) of the calls that the list allows are used at most; operators and a leader before may need the others.
 	ListRateShare = 0.7
+	// ListRest (time) of the bound on draining back ends is left for the read, its commit, the spread and a connection that is being made.
+	ListRest = 1400 * time.Millisecond
+	// ListDrainParts (parts) of that bound, one of which is the longest pause between two reads of a short list.
+	ListDrainParts = 6
+	// ListSecond (time) is the second in which calls are counted, longer by what a call may be under way.
+	ListSecond = 1100 * time.Millisecond
+	// ListRefused (time) after a refused call before the page is asked for again: others, such as a leader before, use the rate too.
+	ListRefused = 300 * time.Millisecond
+	// ListRefusals (refusals) of one page after which a read is given up.
+	ListRefusals = 3
 	// ListCall (time) bounds one page's call.
 	ListCall = 700 * time.Millisecond
 	// TendEvery (time) is how often a gateway drops idle connections and unknown back ends.
--- a/internal/node/routed.go
+++ b/internal/node/routed.go
@@ -38,14 +38,18 @@
 type Seam struct {
 	Names  gateway.Names
 	Bounds Bounds
-	// List reads the platform's whole list once, and tells how many calls it took.
-	List func(ctx context.Context) ([]roster.Listed, int, error)
+	// List reads the platform's whole list once, and tells how many calls it took. It takes its turn before each call, and tells how often
+	// that page was refused; an error of the turn ends the read.
+	List func(ctx context.Context, turn Turn) ([]roster.Listed, int, error)
 	// Grant carries out one call to a back end; the error tells why there was no answer.
 	Grant func(ctx context.Context, call keys.Call) (keys.Answer, error)
 	// Serve gives the handlers of a node by the addresses that they listen on.
 	Serve func(*Outside) map[string]http.Handler
 }
 
+// Turn waits until the list may be called.
+type Turn func(ctx context.Context, refusals int) error
+
 // Outside is what a node offers to those who speak to it through a seam.
 type Outside struct {
 	// Requests takes callers' requests.
@@ -133,6 +137,19 @@
 
 func (n *Node) readList() {
 	pause := constants.ListEvery
+	pace := roster.NewPace(n.seam.Bounds.ListRate)
+	turn := func(ctx context.Context, refusals int) error {
+		wait, err := pace.Turn(n.Now(), refusals)
+		if err != nil || wait <= 0 {
+			return err
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(wait):
+			return nil
+		}
+	}
 	for {
 		select {
 		case <-n.context.Done():
@@ -143,8 +160,8 @@
 			continue
 		}
 		listing := roster.Listing{BegunAt: n.Now(), IsWhole: true}
-		items, calls, err := n.seam.List(n.context)
-		pause = n.listPause(calls)
+		items, calls, err := n.seam.List(n.context, turn)
+		pause = max(n.listEvery(), n.listPause(calls)-(n.Now()-listing.BegunAt))
 		if err != nil {
 			listing.IsWhole, listing.Reason = false, err.Error()
 		}
@@ -153,9 +170,21 @@
 	}
 }
 
+// listEvery is the shortest pause between two reads: less where leaving back ends must be known sooner.
+func (n *Node) listEvery() time.Duration {
+	if within := n.seam.Bounds.DrainWithin; within > 0 {
+		return min(constants.ListEvery, within/constants.ListDrainParts)
+	}
+	return constants.ListEvery
+}
+
 // listPause is how long to wait after a read that took so many calls: a long list is read less often, since calls are paid for and bounded.
 func (n *Node) listPause(calls int) time.Duration {
-	pause := max(constants.ListEvery, min(time.Duration(calls)*constants.ListPageEvery, constants.ListEveryMost))
+	most := constants.ListEveryMost
+	if within := n.seam.Bounds.DrainWithin; within > 0 {
+		most = min(most, within-constants.ListRest)
+	}
+	pause := max(n.listEvery(), min(time.Duration(calls)*constants.ListPageEvery, most))
 	if rate := n.seam.Bounds.ListRate; rate > 0 {
 		pause = max(pause, time.Duration(float64(calls)/(rate*constants.ListRateShare)*float64(time.Second)))
 	}
--- /dev/null
+++ b/internal/roster/pace_test.go
@@ -0,0 +1,68 @@
+package roster
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"topazshed/internal/constants"
+)
+
+// A list of many pages under a small rate used to be read in one burst: its last pages were refused at each read, and so never seen.
+func TestCallsStayWithinTheRate(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		rate  float64
+		pages int
+		least time.Duration
+		most  time.Duration
+	}{
+		{"a large rate", 43, 6, 0, 0},
+		{"no bound", 0, 900, 0, 0},
+		{"more pages than calls a second", 6, 12, time.Second, 3 * time.Second},
+		{"less than a call a second", 0.5, 3, 4 * time.Second, 6 * time.Second},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			p, now := NewPace(c.rate), time.Hour
+			var calls []time.Duration
+			for range c.pages {
+				wait, err := p.Turn(now, 0)
+				if err != nil {
+					t.Fatal(err)
+				}
+				now += wait
+				calls = append(calls, now)
+			}
+			if took := now - time.Hour; took < c.least || took > c.most {
+				t.Errorf("a read takes %v, want %v to %v", took, c.least, c.most)
+			}
+			for i, from := range calls {
+				count := 0
+				for _, at := range calls[i:] {
+					if at-from < time.Second {
+						count++
+					}
+				}
+				if c.rate > 0 && float64(count) > max(1, c.rate) {
+					t.Errorf("%d calls in a second, the list takes %v", count, c.rate)
+				}
+			}
+		})
+	}
+}
+
+func TestARefusedPageIsAskedForAgain(t *testing.T) {
+	p := NewPace(10)
+	last := time.Duration(0)
+	for refusals := 1; refusals <= constants.ListRefusals; refusals++ {
+		wait, err := p.Turn(time.Hour, refusals)
+		if err != nil || wait <= last {
+			t.Fatalf("%d refusals: wait of %v after %v, %v", refusals, wait, last, err)
+		}
+		last = wait
+	}
+	var busy *BusyError
+	if _, err := p.Turn(time.Hour, constants.ListRefusals+1); !errors.As(err, &busy) {
+		t.Fatalf("no end: %v", err)
+	}
+}
