Elections and far sources keep to quiet-ms

Cause: an election's shortest wait (1 s) and spread (0.6 s), and 2.5 s before a reader takes a source of another region, fit a quiet-ms of 4 s; at 2 s a calm machine would have to keep the bounds on draining and configurations before its region's only disk machine was replaced. Change: the wait is a third of quiet-ms (never below what keys' leases need), spread and heartbeat follow; a far source is taken so that its first answer comes within quiet-ms. At 4 s nothing changes, at 3 s a far source is taken after 1.5 s instead of 2.5 s. TestPaceFollowsTheQuietSpan failed before at 1, 2 and 3 s.

--- a/internal/constants/constants.go
+++ b/internal/constants/constants.go
@@ -356,6 +356,10 @@
 	ListRefused = 300 * time.Millisecond
 	// ListRefusals (refusals) of one page after which a read is given up.
 	ListRefusals = 3
+	// QuietElections (waits) fit into the span after which calm machines must keep every bound again: the shortest wait, its spread, and what the new leader does first.
+	QuietElections = 3
+	// SourceFound (time) of that span is left for the first answer of a far source: one subscription and a far way.
+	SourceFound = 600 * time.Millisecond
 	// ListCall (time) bounds one page's call.
 	ListCall = 700 * time.Millisecond
 	// TendEvery (time) is how often a gateway drops idle connections and unknown back ends.
--- a/internal/core/beats.go
+++ b/internal/core/beats.go
@@ -24,7 +24,13 @@
 	if r == nil {
 		return quorum.Pace{}
 	}
-	return quorum.Pace{Heartbeat: constants.RoutedHeartbeat, ElectionLeast: constants.RoutedElectionLeast, ElectionSpread: constants.RoutedElectionSpread}
+	pace := quorum.Pace{Heartbeat: constants.RoutedHeartbeat, ElectionLeast: constants.RoutedElectionLeast, ElectionSpread: constants.RoutedElectionSpread}
+	if least := max(constants.RaftElectionLeast, r.options.Quiet/constants.QuietElections); r.options.Quiet > 0 && least < pace.ElectionLeast {
+		pace.Heartbeat = pace.Heartbeat * least / pace.ElectionLeast
+		pace.ElectionSpread = pace.ElectionSpread * least / pace.ElectionLeast
+		pace.ElectionLeast = least
+	}
+	return pace
 }
 
 func (r *routedState) beatEvery() time.Duration {
@@ -67,7 +73,11 @@
 	if r.seekingAt == 0 {
 		r.seekingAt = now
 	}
-	return now-r.seekingAt > constants.FarSourceAfter
+	after := constants.FarSourceAfter
+	if r.options.Quiet > 0 {
+		after = min(after, r.options.Quiet-constants.SourceSilent-constants.SourceFound)
+	}
+	return now-r.seekingAt > after
 }
 
 // beatRouted reports to the relay, a disk machine of the own region; relays report to the leader what they were told since.
--- /dev/null
+++ b/internal/core/pace_test.go
@@ -0,0 +1,38 @@
+package core
+
+import (
+	"testing"
+	"time"
+
+	"topazshed/internal/constants"
+	"topazshed/internal/keys"
+)
+
+// Calm machines must keep every bound again a given span after trouble: by then there must be a leader, and readers must have found a source.
+func TestPaceFollowsTheQuietSpan(t *testing.T) {
+	for _, c := range []struct {
+		quiet    time.Duration
+		election time.Duration
+		far      time.Duration
+	}{
+		{0, constants.RoutedElectionLeast, constants.FarSourceAfter},
+		{9 * time.Second, constants.RoutedElectionLeast, constants.FarSourceAfter},
+		{4 * time.Second, constants.RoutedElectionLeast, constants.FarSourceAfter},
+		{3 * time.Second, constants.RoutedElectionLeast, 1500 * time.Millisecond},
+		{2 * time.Second, 2 * time.Second / 3, 500 * time.Millisecond},
+		{time.Second, constants.RaftElectionLeast, 0},
+	} {
+		r := newRoutedState(Options{Routed: &Routed{Quiet: c.quiet}})
+		pace := r.quorumPace()
+		if pace.ElectionLeast != c.election || 4*pace.Heartbeat > pace.ElectionLeast || pace.ElectionLeast <= keys.LeaseTime {
+			t.Errorf("quiet %v: %+v, want a shortest wait of %v", c.quiet, pace, c.election)
+		}
+		if whole := pace.ElectionLeast + pace.ElectionSpread; c.quiet >= 2*time.Second && whole > c.quiet*6/10 {
+			t.Errorf("quiet %v: an election may begin only after %v", c.quiet, whole)
+		}
+		r.isFarDue(time.Hour, "")
+		if c.far > 0 && r.isFarDue(time.Hour+c.far, "") || !r.isFarDue(time.Hour+c.far+time.Millisecond, "") {
+			t.Errorf("quiet %v: a far source is not taken after %v", c.quiet, c.far)
+		}
+	}
+}
