Districts without machines are known from the settings

Cause: a district got its row with its first machine's beat; back ends in a zone without a machine were never open, so got nothing and held keys that nobody could use, and such a zone could not be emptied (503 for ever). Ruled out: homes and keys' places (no homes there, keys spread over all zones). Change: the settings' zones become district and region rows at the leader; a district without machines counts as open, as before for one whose machines never came. TestALeaderTakesTheDistrictsWithoutMachines failed before.

--- a/internal/core/districts_test.go
+++ b/internal/core/districts_test.go
@@ -34,3 +34,49 @@
 		t.Errorf("%d districts, %d regions, %d groups, %d standings, want 182, 46, 46 or more and 46", len(core.view.Districts), len(core.view.Regions), len(core.view.Groups), len(core.view.Defaults))
 	}
 }
+
+// Back ends may lie in a district without a machine; as long as it had no row, they got no requests and it could not be emptied.
+func TestALeaderTakesTheDistrictsWithoutMachines(t *testing.T) {
+	for _, c := range []struct {
+		name      string
+		districts map[string]string
+		district  string
+		decline   schema.DeclineKind
+		known     int
+	}{
+		{"its own", map[string]string{"d1": "r1"}, "d1", schema.DeclineKind_DECLINE_NONE, 1},
+		{"another in its region", map[string]string{"d1": "r1", "d2": "r1"}, "d2", schema.DeclineKind_DECLINE_NONE, 2},
+		{"another in a region without machines", map[string]string{"d1": "r1", "d9": "r9"}, "d9", schema.DeclineKind_DECLINE_NONE, 2},
+		{"one that the deployment has not", map[string]string{"d1": "r1", "d2": "r1"}, "d3", schema.DeclineKind_DECLINE_UNKNOWN, 2},
+		{"none told", nil, "d1", schema.DeclineKind_DECLINE_NONE, 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			self := &schema.Node{Id: "a", Address: "a", Proxy: "a", Door: "a", District: "d1", Region: "r1", Disk: true, Incarnation: 1, State: schema.NodeState_NODE_READY}
+			core := New(time.Hour, Options{Self: self, Seeds: []string{"a"}, Draw: func(int64) int64 { return 0 }, Log: slog.New(slog.NewTextHandler(io.Discard, nil)),
+				Routed: &Routed{Districts: c.districts, HoldMost: 10 * time.Second, ColdBearable: func(*schema.ServicePolicy) int { return 1 }}})
+			var outcome *schema.OperatorOutcome
+			for now := time.Hour; now < time.Hour+8*time.Second; now += 20 * time.Millisecond {
+				core.Tick(now)
+				if now == time.Hour+6*time.Second {
+					core.Operate(now, 1, &schema.OperatorQuery{Kind: schema.OperatorKind_OPERATOR_EMPTY, District: c.district})
+				}
+				for range 8 {
+					effects := core.Take()
+					for _, o := range effects.Outcomes {
+						outcome = o.Outcome
+					}
+					if !effects.IsWork {
+						break
+					}
+					core.Synced(now, effects)
+				}
+			}
+			if outcome == nil || outcome.Decline != c.decline || len(core.view.Districts) != c.known {
+				t.Fatalf("outcome %v, %d districts, want %v and %d", outcome, len(core.view.Districts), c.decline, c.known)
+			}
+			if got := core.view.Districts[c.district].GetEmptied(); got != (c.decline == schema.DeclineKind_DECLINE_NONE) {
+				t.Fatalf("emptied: %v", got)
+			}
+		})
+	}
+}
--- a/internal/core/lead.go
+++ b/internal/core/lead.go
@@ -145,6 +145,26 @@
 		regions[r.Name] = true
 		nextRegion = max(nextRegion, r.Residue+2)
 	}
+	admit := func(district, region string) {
+		if !regions[region] && nextRegion < constants.Increment {
+			regions[region] = true
+			put(image.RegionKey(region), image.Put(image.RegionKey(region), &schema.Region{Name: region, Residue: nextRegion}))
+			nextRegion += 2
+		}
+		if c.routed != nil {
+			nextDistrict = 0
+		}
+		if _, isKnown := districts[district]; !isKnown && nextDistrict < constants.Increment {
+			districts[district] = region
+			put(image.DistrictKey(district), image.Put(image.DistrictKey(district), &schema.District{Name: district, Region: region, Residue: nextDistrict}))
+			nextDistrict += 2
+		}
+	}
+	if c.routed != nil {
+		for _, name := range slices.Sorted(maps.Keys(c.routed.options.Districts)) {
+			admit(name, c.routed.options.Districts[name])
+		}
+	}
 	newest := c.newestAt()
 	for _, id := range slices.Sorted(maps.Keys(c.nodes)) {
 		g := c.nodes[id]
@@ -156,19 +176,7 @@
 			c.log.Error("node names a district under another region and is declined; mend its settings", "node", id, "district", g.node.District, "region", g.node.Region, "known", region)
 			continue
 		}
-		if !regions[g.node.Region] && nextRegion < constants.Increment {
-			regions[g.node.Region] = true
-			put(image.RegionKey(g.node.Region), image.Put(image.RegionKey(g.node.Region), &schema.Region{Name: g.node.Region, Residue: nextRegion}))
-			nextRegion += 2
-		}
-		if c.routed != nil {
-			nextDistrict = 0
-		}
-		if _, isKnown := districts[g.node.District]; !isKnown && nextDistrict < constants.Increment {
-			districts[g.node.District] = g.node.Region
-			put(image.DistrictKey(g.node.District), image.Put(image.DistrictKey(g.node.District), &schema.District{Name: g.node.District, Region: g.node.Region, Residue: nextDistrict}))
-			nextDistrict += 2
-		}
+		admit(g.node.District, g.node.Region)
 		if c.routed != nil && newest[g.node.Address] > g.node.Incarnation {
 			continue
 		}
--- a/internal/node/routed.go
+++ b/internal/node/routed.go
@@ -38,6 +38,8 @@
 type Seam struct {
 	Names  gateway.Names
 	Bounds Bounds
+	// Districts are the deployment's, each with its region, also those without a machine.
+	Districts map[string]string
 	// List reads the platform's whole list once, and tells how many calls it took. It takes its turn before each call, and tells how often
 	// that page was refused; an error of the turn ends the read.
 	List func(ctx context.Context, turn Turn) ([]roster.Listed, int, error)
@@ -66,7 +68,7 @@
 	bounds := n.seam.Bounds
 	reckon := gateway.NewLoads(n.Now(), bounds.Bounds)
 	sizes := journal.Sized(n.settings.DiskBytes)
-	return &core.Routed{Fits: sizes.Fits, HoldMost: bounds.HoldMost, ListLag: bounds.ListLag, Quiet: bounds.Quiet, ColdBearable: reckon.ColdBearable,
+	return &core.Routed{Fits: sizes.Fits, HoldMost: bounds.HoldMost, ListLag: bounds.ListLag, Districts: n.seam.Districts, Quiet: bounds.Quiet, ColdBearable: reckon.ColdBearable,
 		Heat: func(span time.Duration) []*schema.KeyHeat { return n.gateway.Loads().TakeHeat(span) }}
 }
 
