Changed settings are noticed without a signal; their seeds are asked at once

Cause: a machine without a disk remembers nobody; if all its seeds are down when it starts, it asks them for ever, although its settings file may name others by now: the file was read once, and a hangup only told of faults. Change: the file's time and size are looked at every 2 s and at SIGHUP; seeds of good changed settings replace the former ones, all else waits for the next start as before.

--- a/cmd/topazshed/platform.go
+++ b/cmd/topazshed/platform.go
@@ -10,6 +10,7 @@
 	"os/signal"
 	"runtime/debug"
 	"syscall"
+	"time"
 
 	"github.com/google/subcommands"
 
@@ -59,28 +60,44 @@
 	hangups := make(chan os.Signal, 1)
 	signal.Notify(hangups, syscall.SIGHUP)
 	defer signal.Stop(hangups)
-	go func() {
-		for {
-			select {
-			case <-hangups:
-				if _, _, _, err := platform.Read(); err != nil {
-					log.Error("the changed settings are not taken; mend every fault", "faults", err.Error())
-				} else {
-					log.Info("the changed settings are good; they are taken at the next start")
-				}
-			case <-ctx.Done():
-				return
-			}
-		}
-	}()
 	n, err := node.StartRouted(own, log, node.OpenFolder, platform.Seam(file, bounds))
 	if err != nil {
 		log.Error("did not start", "reason", err.Error())
 		return subcommands.ExitFailure
 	}
+	go c.follow(ctx, log, hangups, n)
 	if err := n.Wait(ctx); err != nil {
 		log.Error("ended with a fault", "reason", err.Error())
 		return subcommands.ExitFailure
 	}
 	return subcommands.ExitSuccess
 }
+
+// follow takes the seeds of changed settings, told of by a hangup or found by looking; all else of them is taken at the next start.
+func (c *platformCommand) follow(ctx context.Context, log *slog.Logger, hangups <-chan os.Signal, n *node.Node) {
+	ticker := time.NewTicker(constants.SettingsEvery)
+	defer ticker.Stop()
+	stamp := platform.Stamp()
+	for {
+		isTold := false
+		select {
+		case <-hangups:
+			isTold = true
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+		newest := platform.Stamp()
+		if newest == stamp && !isTold {
+			continue
+		}
+		stamp = newest
+		_, own, _, err := platform.Read()
+		if err != nil {
+			log.Error("the changed settings are not taken; mend every fault", "faults", err.Error())
+			continue
+		}
+		log.Info("the changed settings are good; seeds are taken now, all else at the next start")
+		n.SetSeeds(own.Seeds)
+	}
+}
--- a/internal/constants/constants.go
+++ b/internal/constants/constants.go
@@ -362,6 +362,8 @@
 	SourceFound = 600 * time.Millisecond
 	// ListCall (time) bounds one page's call.
 	ListCall = 700 * time.Millisecond
+	// SettingsEvery (time) is how often a routed node looks whether its settings file has changed: nobody need tell it.
+	SettingsEvery = 2 * time.Second
 	// TendEvery (time) is how often a gateway drops idle connections and unknown back ends.
 	TendEvery = time.Second
 	// RefusedApart (time) is how far apart two refused connections prove that a back end's process has ended.
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -245,6 +245,17 @@
 	}
 }
 
+// SetSeeds takes the seeds of changed settings: a node that knows nobody asks them, and the former ones may all be gone.
+func (c *Core) SetSeeds(now time.Duration, seeds []string) {
+	c.now = now
+	if len(seeds) == 0 || slices.Equal(seeds, c.options.Seeds) {
+		return
+	}
+	c.options.Seeds = slices.Clone(seeds)
+	c.near.SetSeeds(c.options.Seeds)
+	c.log.Info("other seeds are asked from now on", "seeds", seeds)
+}
+
 // SetVitals takes this node's probes of back ends.
 func (c *Core) SetVitals(vitals []*schema.Vital) { c.vitals = vitals }
 
--- a/internal/neighbours/neighbours.go
+++ b/internal/neighbours/neighbours.go
@@ -64,6 +64,9 @@
 // Self gives a copy of this node's description as it stands now: frames wait to be written while the description changes.
 func (n *Neighbours) Self() *schema.Node { return proto.Clone(n.self).(*schema.Node) }
 
+// SetSeeds takes other seeds than before.
+func (n *Neighbours) SetSeeds(seeds []string) { n.options.Seeds = seeds }
+
 // Learn puts nodes into the passive view.
 func (n *Neighbours) Learn(nodes ...*schema.Node) {
 	for _, node := range nodes {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -266,6 +266,11 @@
 	}
 }
 
+// SetSeeds takes the seeds of changed settings.
+func (n *Node) SetSeeds(seeds []string) {
+	n.do(func() { n.core.SetSeeds(n.Now(), seeds) })
+}
+
 func (n *Node) want(service string) {
 	n.do(func() { n.core.Want(n.Now(), service) })
 }
