A young process sends nothing to cold back ends for a second

Cause: what a process sent to a cold back end was counted in its memory only; one that is killed and back within the second began with its whole part again: four sponsors so sent 24 requests in a second where 14 are allowed. Ruled out: a smaller part for all (it would slow every return for a rare case). TestAYoungProcessSendsNothingToColdBackEnds failed before.

--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -149,8 +149,12 @@
 	return int(policy.GetColdRate()*l.bounds.ColdExcess+l.bounds.ColdMargin) - constants.ColdSpare
 }
 
-// MayCold counts a request to a cold back end if this node's part, one of so many, allows it.
+// MayCold counts a request to a cold back end if this node's part, one of so many, allows it. A young process's former life may have spent
+// the part of the second that it began in.
 func (l *Loads) MayCold(now time.Duration, id string, policy *schema.ServicePolicy, parts int) bool {
+	if now-l.since < constants.ColdSecond {
+		return false
+	}
 	allowed := l.ColdBearable(policy) / max(1, parts)
 	s, free := l.in(id)
 	defer free()
--- a/internal/gateway/state_test.go
+++ b/internal/gateway/state_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"topazshed/internal/constants"
 	"topazshed/internal/schema"
 )
 
@@ -283,3 +284,43 @@
 		t.Fatal("heat told twice")
 	}
 }
+
+func TestAYoungProcessSendsNothingToColdBackEnds(t *testing.T) {
+	policy := &schema.ServicePolicy{ColdRate: 6}
+	bounds := Bounds{RetryWindow: 10 * time.Second, ColdExcess: 1.5, ColdMargin: 5}
+	for _, c := range []struct {
+		name string
+		age  time.Duration
+		want int
+	}{
+		{"just begun", 0, 0},
+		{"nine tenths of a second", 900 * time.Millisecond, 0},
+		{"the second of its former life is over", constants.ColdSecond, 3},
+		{"old", time.Hour, 3},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			began := time.Hour
+			loads := NewLoads(began, bounds)
+			sent := 0
+			for loads.MayCold(began+c.age, "i-1", policy, 4) {
+				sent++
+			}
+			if sent != c.want {
+				t.Fatalf("%d requests, want %d", sent, c.want)
+			}
+		})
+	}
+	// Four sponsors are killed and back within the second: together with what their former lives sent it is within the bound.
+	sent := 0
+	for range 4 {
+		for _, began := range []time.Duration{0, time.Hour} {
+			loads := NewLoads(began, bounds)
+			for loads.MayCold(time.Hour+700*time.Millisecond, "i-1", policy, 4) {
+				sent++
+			}
+		}
+	}
+	if most := int(6*1.5 + 5); sent > most {
+		t.Fatalf("%d requests in the second, %d are allowed", sent, most)
+	}
+}
