A silent source of rows is left as soon as it counts as silent

Ruled out: the former renewal each 0.5 s, which left it up to 1.4 s late.

Change: a subscription goes out at once when its source has become silent; a node without rows forgets its source when its seeds change.

The constant that pace_test names has moved with its kin.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -253,6 +253,9 @@
 	}
 	c.options.Seeds = slices.Clone(seeds)
 	c.near.SetSeeds(c.options.Seeds)
+	if c.view.System == "" {
+		c.source = ""
+	}
 	c.log.Info("other seeds are asked from now on", "seeds", seeds)
 }
 
@@ -443,7 +446,7 @@
 		c.beat()
 	}
 	c.seek()
-	if c.quorum == nil && now-c.subAt >= c.routed.subscribeEvery() {
+	if c.quorum == nil && now-c.subAt >= c.renewEvery() {
 		c.subscribe(now)
 	}
 	c.spread()
@@ -612,6 +615,14 @@
 	return slices.Concat(image.Common, slices.Sorted(maps.Keys(c.wanted)))
 }
 
+// renewEvery is how soon a subscription is sent again: a silent source is left as soon as it may be.
+func (c *Core) renewEvery() time.Duration {
+	if c.now-c.sourceAt > constants.SourceSilent {
+		return 0
+	}
+	return c.routed.subscribeEvery()
+}
+
 func (c *Core) subscribe(now time.Duration) {
 	if c.system == "" {
 		return
--- a/internal/core/pace_test.go
+++ b/internal/core/pace_test.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"topazshed/internal/constants"
-	"topazshed/internal/keys"
 )
 
 // Calm machines must keep every bound again a given span after trouble: by then there must be a leader, and readers must have found a source.
@@ -24,7 +23,7 @@
 	} {
 		r := newRoutedState(Options{Routed: &Routed{Quiet: c.quiet}})
 		pace := r.quorumPace()
-		if pace.ElectionLeast != c.election || 4*pace.Heartbeat > pace.ElectionLeast || pace.ElectionLeast <= keys.LeaseTime {
+		if pace.ElectionLeast != c.election || 4*pace.Heartbeat > pace.ElectionLeast || pace.ElectionLeast <= constants.KeyLeaseTime {
 			t.Errorf("quiet %v: %+v, want a shortest wait of %v", c.quiet, pace, c.election)
 		}
 		if whole := pace.ElectionLeast + pace.ElectionSpread; c.quiet >= 2*time.Second && whole > c.quiet*6/10 {
