--- /dev/null
+++ b/internal/core/orders_test.go
@@ -0,0 +1,295 @@
+package core
+
+import (
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand"
+	"testing"
+	"time"
+
+	"topazshed/internal/schema"
+)
+
+// fleet is three disk machines and a reader of a routed fleet, with links that can be cut.
+type fleet struct {
+	t        *testing.T
+	now      time.Duration
+	names    []string
+	cores    map[string]*Core
+	isDown   map[string]bool
+	outcomes map[uint64]*schema.OperatorOutcome
+	ticket   uint64
+}
+
+func newFleet(t *testing.T) *fleet {
+	f := &fleet{t: t, now: time.Hour, names: []string{"a", "b", "c", "r"}, cores: map[string]*Core{}, isDown: map[string]bool{}, outcomes: map[uint64]*schema.OperatorOutcome{}}
+	random := rand.New(rand.NewSource(3))
+	for _, name := range f.names {
+		self := &schema.Node{Id: "id-" + name, Address: name, Proxy: name, Door: name, District: "z", Region: "g", Disk: name != "r", Incarnation: 1, State: schema.NodeState_NODE_READY}
+		f.cores[name] = New(f.now, Options{Self: self, Seeds: []string{"a", "b", "c"}, Draw: random.Int63n, Log: slog.New(slog.NewTextHandler(io.Discard, nil)),
+			Routed: &Routed{HoldMost: 10 * time.Second, Districts: map[string]string{"z": "g", "y": "g"}, ColdBearable: func(*schema.ServicePolicy) int { return 1 }}})
+	}
+	f.run(8 * time.Second)
+	if f.leader() == "" || len(f.cores[f.leader()].quorum.Members().Voters) != 3 {
+		t.Fatal("no leader of three voters")
+	}
+	return f
+}
+
+func (f *fleet) run(span time.Duration) {
+	for until := f.now + span; f.now < until; f.now += 20 * time.Millisecond {
+		for _, name := range f.names {
+			if f.isDown[name] {
+				continue
+			}
+			core := f.cores[name]
+			core.Tick(f.now)
+			for range 12 {
+				effects := core.Take()
+				for _, o := range effects.Outcomes {
+					f.outcomes[o.Ticket] = o.Outcome
+				}
+				if !effects.IsWork {
+					break
+				}
+				core.Synced(f.now, effects)
+				for _, s := range effects.Sends {
+					if to := f.cores[s.To]; to != nil && !f.isDown[s.To] {
+						to.Receive(f.now, s.Frame)
+					}
+				}
+			}
+		}
+	}
+}
+
+func (f *fleet) leader() string {
+	for _, name := range f.names {
+		if !f.isDown[name] && f.cores[name].IsLeading() {
+			return name
+		}
+	}
+	return ""
+}
+
+// other gives a running machine that does not lead.
+func (f *fleet) other(nth int) string {
+	var names []string
+	for _, name := range f.names {
+		if !f.isDown[name] && !f.cores[name].IsLeading() {
+			names = append(names, name)
+		}
+	}
+	return names[nth%len(names)]
+}
+
+// order gives a query to a machine, and its ticket.
+func (f *fleet) order(at string, query *schema.OperatorQuery) uint64 {
+	f.ticket++
+	f.cores[at].Operate(f.now, f.ticket, query)
+	return f.ticket
+}
+
+func (f *fleet) declined(ticket uint64) schema.DeclineKind {
+	f.t.Helper()
+	outcome := f.outcomes[ticket]
+	if outcome == nil {
+		f.t.Fatalf("order %d has no answer", ticket)
+	}
+	return outcome.Decline
+}
+
+func configOf(generation, base uint64, text string) *schema.OperatorQuery {
+	return &schema.OperatorQuery{Kind: schema.OperatorKind_OPERATOR_PUT_ROUTES, Routes: &schema.RouteConfig{Version: generation, Base: base, Document: []byte(text),
+		Services: []*schema.ServicePolicy{{Service: "copper"}},
+		Routes:   []*schema.Route{{Name: text, Host: "h", Prefix: "/" + text + "/", TimeoutMs: 1000, Targets: []*schema.Target{{Service: "copper", Weight: 1}}}}}}
+}
+
+const (
+	taken    = schema.DeclineKind_DECLINE_NONE
+	conflict = schema.DeclineKind_DECLINE_CONFLICT
+	invalid  = schema.DeclineKind_DECLINE_INVALID
+)
+
+func TestOrdersOfConfigurations(t *testing.T) {
+	type put struct {
+		generation, base uint64
+		text             string
+		// at is whom the order is given to: leader, or another by number.
+		at   int
+		want schema.DeclineKind
+	}
+	const leader = -1
+	first := put{1, 0, "one", leader, taken}
+	for _, c := range []struct {
+		name string
+		puts []put
+		// isLeaderLost ends the leader before the last order.
+		isLeaderLost bool
+		head         uint64
+	}{
+		{"the same again at the leader", []put{first, {1, 0, "one", leader, taken}}, false, 1},
+		{"the same again at others", []put{{1, 0, "one", 0, taken}, {1, 0, "one", 1, taken}, {1, 0, "one", 2, taken}}, false, 1},
+		{"the same again after two others", []put{first, {2, 1, "two", 0, taken}, {9, 2, "nine", 1, taken}, {1, 0, "one", 2, taken}, {2, 1, "two", 0, taken}}, false, 9},
+		{"the same again after the leader was lost", []put{first, {2, 1, "two", 0, taken}, {1, 0, "one", 0, taken}}, true, 2},
+		{"one number for two changes", []put{first, {2, 1, "two", 0, taken}, {2, 1, "too", 1, conflict}, {2, 1, "two", 1, taken}, {2, 1, "too", 0, conflict}}, false, 2},
+		{"one number for two changes after the leader was lost", []put{first, {2, 1, "two", 0, taken}, {2, 1, "too", 1, conflict}}, true, 2},
+		{"a base that is not there", []put{first, {3, 2, "three", 0, conflict}}, false, 1},
+		{"a number that does not rise", []put{first, {5, 1, "five", 0, taken}, {5, 5, "again", 0, invalid}, {4, 5, "four", 0, invalid}}, false, 5},
+		{"a loser that builds on the winner", []put{first, {2, 1, "two", 0, taken}, {2, 1, "too", 0, conflict}, {3, 2, "too", 0, taken}}, false, 3},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f := newFleet(t)
+			for i, p := range c.puts {
+				if c.isLeaderLost && i == len(c.puts)-1 {
+					f.isDown[f.leader()] = true
+					f.run(5 * time.Second)
+				}
+				at := f.leader()
+				if p.at != leader {
+					at = f.other(p.at)
+				}
+				ticket := f.order(at, configOf(p.generation, p.base, p.text))
+				f.run(time.Second)
+				if got := f.declined(ticket); got != p.want {
+					t.Fatalf("order %d, %s on %d: %v (%s), want %v", i, p.text, p.base, got, f.outcomes[ticket].Message, p.want)
+				}
+			}
+			for _, name := range f.names {
+				if !f.isDown[name] && f.cores[name].view.Head.GetVersion() != c.head {
+					t.Errorf("%s holds version %d, want %d", name, f.cores[name].view.Head.GetVersion(), c.head)
+				}
+			}
+		})
+	}
+}
+
+func TestEightOrdersAtOnce(t *testing.T) {
+	f := newFleet(t)
+	first := f.order(f.leader(), configOf(1, 0, "one"))
+	f.run(time.Second)
+	if f.declined(first) != taken {
+		t.Fatal(f.outcomes[first])
+	}
+	var tickets []uint64
+	for i := range 8 {
+		at := f.leader()
+		if i%3 > 0 {
+			at = f.other(i)
+		}
+		tickets = append(tickets, f.order(at, configOf(2, 1, fmt.Sprintf("of-%d", i))))
+	}
+	f.run(2 * time.Second)
+	winners, winner := 0, ""
+	for i, ticket := range tickets {
+		switch got := f.declined(ticket); got {
+		case taken:
+			winners++
+			winner = fmt.Sprintf("of-%d", i)
+		case conflict:
+		default:
+			t.Errorf("order %d: %v", i, got)
+		}
+	}
+	if winners != 1 {
+		t.Fatalf("%d of eight changes on one version were taken", winners)
+	}
+	for _, name := range f.names {
+		if f.cores[name].view.Route("h", "/"+winner+"/") == nil || len(f.cores[name].view.Hosts["h"]) != 1 {
+			t.Errorf("%s does not hold exactly the winner's route", name)
+		}
+	}
+	for i, ticket := range tickets {
+		text := fmt.Sprintf("of-%d", i)
+		again := f.order(f.other(i), configOf(2, 1, text))
+		f.run(time.Second)
+		if f.declined(again) != f.declined(ticket) {
+			t.Errorf("%s again: %v, first %v", text, f.declined(again), f.declined(ticket))
+		}
+	}
+}
+
+func TestOrdersOfDistrictsAgain(t *testing.T) {
+	empty, restore := schema.OperatorKind_OPERATOR_EMPTY, schema.OperatorKind_OPERATOR_RESTORE
+	for _, c := range []struct {
+		name   string
+		orders []schema.OperatorKind
+		want   bool
+	}{
+		{"emptied", []schema.OperatorKind{empty}, true},
+		{"emptied twice", []schema.OperatorKind{empty, empty}, true},
+		{"given back twice", []schema.OperatorKind{empty, restore, restore}, false},
+		{"emptied again", []schema.OperatorKind{empty, restore, empty}, true},
+		{"given back, never emptied", []schema.OperatorKind{restore}, false},
+	} {
+		for _, isAtOnce := range []bool{false, true} {
+			t.Run(fmt.Sprint(c.name, " at once ", isAtOnce), func(t *testing.T) {
+				f := newFleet(t)
+				var tickets []uint64
+				for i, kind := range c.orders {
+					at := f.leader()
+					if !isAtOnce && i%2 > 0 {
+						at = f.other(i)
+					}
+					tickets = append(tickets, f.order(at, &schema.OperatorQuery{Kind: kind, District: "y", Reason: "operator"}))
+					if !isAtOnce {
+						f.run(time.Second)
+					}
+				}
+				f.run(time.Second)
+				for _, ticket := range tickets {
+					if got := f.declined(ticket); got != taken {
+						t.Errorf("order %d: %v", ticket, got)
+					}
+				}
+				for _, name := range f.names {
+					if got := f.cores[name].view.Districts["y"].GetEmptied(); got != c.want {
+						t.Errorf("%s: emptied %v, want %v", name, got, c.want)
+					}
+				}
+				f.isDown[f.leader()] = true
+				f.run(5 * time.Second)
+				again := f.order(f.other(0), &schema.OperatorQuery{Kind: c.orders[len(c.orders)-1], District: "y", Reason: "operator"})
+				f.run(time.Second)
+				if got := f.declined(again); got != taken {
+					t.Errorf("the last again, after the leader was lost: %v", got)
+				}
+			})
+		}
+	}
+}
+
+// A leader that is stopped in the middle of an order still has it taken, or taken when it is given again.
+func TestALeaderStopsDuringAnOrder(t *testing.T) {
+	for _, after := range []time.Duration{0, 20 * time.Millisecond, 40 * time.Millisecond, 200 * time.Millisecond} {
+		t.Run(after.String(), func(t *testing.T) {
+			f := newFleet(t)
+			leader := f.leader()
+			if after == 0 {
+				f.cores[leader].Stop(f.now)
+			}
+			ticket := f.order(leader, configOf(1, 0, "one"))
+			if after > 0 {
+				f.run(after)
+				f.cores[leader].Stop(f.now)
+			}
+			f.run(3 * time.Second)
+			if f.declined(ticket) != taken && f.declined(ticket) != schema.DeclineKind_DECLINE_NO_LEADER {
+				t.Fatalf("%v", f.outcomes[ticket])
+			}
+			f.isDown[leader] = true
+			f.run(4 * time.Second)
+			again := f.order(f.other(0), configOf(1, 0, "one"))
+			f.run(time.Second)
+			if f.declined(again) != taken {
+				t.Fatalf("again: %v", f.outcomes[again])
+			}
+			for _, name := range f.names {
+				if !f.isDown[name] && f.cores[name].view.Head.GetVersion() != 1 {
+					t.Errorf("%s does not hold the configuration", name)
+				}
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/gateway/limits_test.go
@@ -0,0 +1,105 @@
+package gateway
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"topazshed/internal/image"
+	"topazshed/internal/schema"
+)
+
+// Whatever happens to a request, no more back ends than the route allows get it, one that may not be repeated runs once, and one that may
+// have run is never told to have not.
+func TestCoursesKeepTheRoutesLimits(t *testing.T) {
+	kinds := []EventKind{EventUnreached, EventNotRun, EventErrored, EventBroken, EventAnswered, EventExpired}
+	for seed := range uint64(3000) {
+		random := rand.New(rand.NewPCG(seed, 5))
+		w := newWorld(t)
+		for i := range 2 + random.IntN(6) {
+			w.backend(fmt.Sprint("i-", i), []string{"kol-a", "kol-b", "tor-a"}[random.IntN(3)], fmt.Sprint("10.0.0.", i, ":80"))
+		}
+		p := newPlay(w, func(o *CourseOptions) {
+			o.Route = &schema.Route{TimeoutMs: 2000, TargetMs: 400, MaxAttempts: uint32(random.IntN(5)), Repeatable: random.IntN(2) == 0,
+				HomeRegions: [][]string{nil, {"kol"}, {"tor"}, {"kol", "tor"}}[random.IntN(4)]}
+			o.IsReplayable = random.IntN(4) > 0
+		})
+		route := p.course.Route
+		sent, mayRun, isOver := []string{}, 0, false
+		for event := (Event{Kind: EventBegun}); !isOver; {
+			order := p.course.Next(p.now, p.view, event)
+			switch order.Kind {
+			case OrderConnect:
+				region := p.view.Districts[order.Backend.District].Region
+				if len(route.HomeRegions) > 0 && !slices.Contains(route.HomeRegions, region) {
+					t.Fatalf("seed %d: sent to %s, homes are %v", seed, region, route.HomeRegions)
+				}
+				event = Event{Kind: EventConnected}
+				if random.IntN(4) == 0 {
+					event = Event{Kind: EventUnreached}
+				} else if random.IntN(30) == 0 {
+					event = Event{Kind: EventExpired}
+				}
+			case OrderSend:
+				sent = append(sent, order.Backend.Instance)
+				event = Event{Kind: kinds[1+random.IntN(len(kinds)-1)], IsOther: random.IntN(3) == 0}
+				if event.Kind != EventNotRun {
+					mayRun++
+				}
+			case OrderWait:
+				p.now += order.Wait
+				event = Event{Kind: EventWoken}
+			case OrderRefuse:
+				if mayRun > 0 {
+					t.Fatalf("seed %d: refused as not run, though %d back ends may have run it", seed, mayRun)
+				}
+				isOver = true
+			default:
+				isOver = true
+			}
+		}
+		if most := int(max(1, route.MaxAttempts)); len(sent) > most {
+			t.Fatalf("seed %d: sent to %v, at most %d are allowed", seed, sent, most)
+		}
+		if !route.Repeatable && mayRun > 1 {
+			t.Fatalf("seed %d: %d back ends may have run what may run once", seed, mayRun)
+		}
+	}
+}
+
+func TestKeyedRequestsStayInTheirHomes(t *testing.T) {
+	for _, c := range []struct {
+		holder, district string
+		homes            []string
+		turn             func(*schema.Backend)
+		want             Refusal
+	}{
+		{"i-kol", "kol-b", nil, nil, RefusalNone},
+		{"i-kol", "kol-b", []string{"kol"}, nil, RefusalNone},
+		{"i-tor", "tor-a", []string{"kol", "tor"}, nil, RefusalNone},
+		{"i-tor", "tor-a", []string{"kol"}, nil, RefusalMoving},
+		{"i-kol", "kol-b", []string{"tor"}, nil, RefusalMoving},
+		{"i-kol", "kol-b", []string{"none"}, nil, RefusalNoPlace},
+		{"i-kol", "kol-b", nil, isDraining, RefusalMoving},
+	} {
+		t.Run(fmt.Sprint(c.holder, c.homes), func(t *testing.T) {
+			w := newWorld(t)
+			w.put(image.PolicyKey("copper"), &schema.ServicePolicy{Service: "copper", Keyed: true, ColdRate: 16})
+			turn := c.turn
+			if turn == nil {
+				turn = func(*schema.Backend) {}
+			}
+			w.backend(c.holder, c.district, "10.0.0.1:80", turn)
+			w.backend("i-other-kol", "kol-a", "10.0.0.2:80")
+			w.backend("i-other-tor", "tor-a", "10.0.0.3:80")
+			w.put(image.SpanKey("copper", 0), &schema.KeySpan{Service: "copper", Last: 65535, Instance: c.holder, Fence: 1})
+			choice := Choose(Situation{Now: time.Hour, View: w.settle(), Self: self, Loads: NewLoads(0, bounds), Draw: func(int64) int64 { return 0 },
+				Route: &schema.Route{TargetMs: 400, HomeRegions: c.homes}, Service: "copper", Key: 77, HasKey: true, Token: "t"})
+			if choice.Refusal != c.want || c.want == RefusalNone && choice.Backend.Instance != c.holder {
+				t.Fatalf("%q %v, want %q", choice.Refusal, choice.Backend, c.want)
+			}
+		})
+	}
+}
