Core: the leader looks at its keys at once after a record on a service's rows

Cause: the granter's step came up to 0.2 s after the record that it waits for, and each move of keys takes two records (take off, assign), as do the keys of an ended holder one. Seen failing first: TestGrantsFollowTheirRecordAtOnce (0.2 s after the record, now the next tick).

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -950,6 +950,7 @@
 			c.log.Info("members", "voters", len(item.Record.Members.Voters), "learners", len(item.Record.Members.Learners), "reason", item.Record.Reason)
 		}
 		c.settle(item)
+		c.noteHolders(rows)
 	}
 	c.publish(changed)
 	c.resumeDeferred()
--- a/internal/core/routed.go
+++ b/internal/core/routed.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"crypto/sha256"
 	"slices"
+	"strings"
 	"time"
 
 	"topazshed/internal/constants"
@@ -179,6 +180,13 @@
 	}
 }
 
+// noteHolders lets the leader look at its keys at once when a record changes who holds them or who may: each move of keys takes two records.
+func (c *Core) noteHolders(rows []*schema.Row) {
+	if c.routed != nil && slices.ContainsFunc(rows, func(row *schema.Row) bool { return strings.HasPrefix(row.Key, "s/") }) {
+		c.planAt = 0
+	}
+}
+
 // isEnded tells that a back end's process has surely ended: it was refused twice at its address, or two whole reads of the list lacked it.
 func (c *Core) isEnded(instance string) bool {
 	if c.routed.dead[instance] {
