Retry-After is spread, within a third of what the caller has left

Cause: all callers refused in one moment were told the same wait (0.25 or 0.4 s) and came back in one moment, some later than they heed: a third of what they have left.

The change: an even spread from a half of the mean wait to one and a half, bounded by what is left; also where a node knows no configuration yet.

--- a/internal/constants/constants.go
+++ b/internal/constants/constants.go
@@ -306,7 +306,13 @@
 	ShedRanks = 3
 	// BackPart (parts of a route's time-out) below which a caller that has less left is taken to have come back.
 	BackPart = 0.95
-	// RefuseAfter (time) a refused caller is told to wait when back ends are busy: about one request's work.
+	// RefuseHeeded (parts) of the time that a caller has left are the longest Retry-After that callers heed.
+	RefuseHeeded = 0.33
+	// RefuseUnknown (time) is what a caller that says nothing is taken to have left.
+	RefuseUnknown = 2 * time.Second
+	// RefuseLeast (time) is the shortest mean wait.
+	RefuseLeast = 2 * time.Millisecond
+	// RefuseAfter (time) is the mean wait that a refused caller is told when back ends are busy: about one request's work.
 	RefuseAfter = 250 * time.Millisecond
 	// RefuseAfterMove (time) is the same while keys move or back ends are cold.
 	RefuseAfterMove = 400 * time.Millisecond
--- a/internal/gateway/course.go
+++ b/internal/gateway/course.go
@@ -117,7 +117,7 @@
 		return Order{Kind: OrderPass}
 	case EventExpired:
 		if !c.mayRun && c.sent == 0 {
-			return c.refuse(RefusalBusy)
+			return c.refuse(now, RefusalBusy)
 		}
 		return Order{Kind: OrderFail, Status: 504, Reason: "the deadline is over: " + c.reason}
 	case EventUnreached:
@@ -127,7 +127,7 @@
 		c.reason = e.Reason
 		c.tried = append(c.tried, c.choice.Backend.Instance)
 		if c.sent >= c.most() {
-			return c.end(RefusalBusy)
+			return c.end(now, RefusalBusy)
 		}
 	case EventErrored:
 		c.mayRun = true
@@ -144,7 +144,7 @@
 		c.reason = e.Reason
 		c.tried = append(c.tried, c.choice.Backend.Instance)
 		if !c.Route.Repeatable || !c.IsReplayable || c.sent >= c.most() {
-			return c.end(RefusalBusy)
+			return c.end(now, RefusalBusy)
 		}
 	}
 	return c.seek(now, view)
@@ -158,7 +158,7 @@
 	}
 	c.searches++
 	if c.searches > constants.SearchesMost || !c.IsReplayable && c.sent > 0 {
-		return c.end(RefusalBusy)
+		return c.end(now, RefusalBusy)
 	}
 	choice := Choose(Situation{Now: now, View: view, Self: c.Self, Loads: c.Loads, Draw: c.Draw, Route: c.Route, Service: c.Service,
 		Key: c.Key, HasKey: c.HasKey, Token: c.Token, Tried: c.tried})
@@ -167,14 +167,14 @@
 			c.searches--
 			return Order{Kind: OrderWait, Wait: min(constants.ParkPoll, c.Until-now)}
 		}
-		return c.end(choice.Refusal)
+		return c.end(now, choice.Refusal)
 	}
 	if c.sent == 0 && len(c.tried) == 0 && c.isShed(now, choice.Backend.Instance) {
-		return c.refuse(RefusalBusy)
+		return c.refuse(now, RefusalBusy)
 	}
 	if c.sent > 0 {
 		if !c.Loads.MayRepeat(now, c.Service, len(view.Nodes)) {
-			return c.end(RefusalBudget)
+			return c.end(now, RefusalBudget)
 		}
 		c.Repeats++
 	}
@@ -201,17 +201,18 @@
 	return now-c.Begun < most && len(c.tried) == 0
 }
 
-func (c *Course) end(refusal Refusal) Order {
+func (c *Course) end(now time.Duration, refusal Refusal) Order {
 	if c.mayRun {
 		return Order{Kind: OrderFail, Status: 502, Reason: c.reason}
 	}
-	return c.refuse(refusal)
+	return c.refuse(now, refusal)
 }
 
-func (c *Course) refuse(refusal Refusal) Order {
+func (c *Course) refuse(now time.Duration, refusal Refusal) Order {
 	after := constants.RefuseAfter
 	if refusal == RefusalMoving || refusal == RefusalCold || refusal == RefusalNotReady {
 		after = constants.RefuseAfterMove
 	}
+	after = ComeBack(after, c.Until-now, c.Draw)
 	return Order{Kind: OrderRefuse, Refusal: refusal, RetryAfter: after, Reason: c.reason}
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -161,6 +161,14 @@
 	return path
 }
 
+// wait is how long a caller waits, at most so long.
+func (g *Gateway) wait(r *http.Request, most time.Duration) time.Duration {
+	if ms, err := strconv.ParseInt(r.Header.Get(g.options.Names.Deadline), 10, 64); err == nil && ms >= 0 {
+		return min(most, time.Duration(ms)*time.Millisecond)
+	}
+	return most
+}
+
 // ServeHTTP takes one request.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	begun := g.options.Now()
@@ -170,7 +178,7 @@
 	local := g.options.Local()
 	if !IsFit(local) {
 		g.stats.Refused.Add(1)
-		g.tell(w, id, http.StatusServiceUnavailable, string(RefusalNotReady), "this node does not know the newest state yet; another node may", constants.RefuseAfterMove)
+		g.tell(w, id, http.StatusServiceUnavailable, string(RefusalNotReady), "this node does not know the newest state yet; another node may", ComeBack(constants.RefuseAfterMove, g.wait(r, constants.RefuseUnknown), g.options.Draw))
 		return
 	}
 	if limit := local.View.Limits.GetHeaderBytes(); limit > 0 && headerBytes(r) > int(limit) {
@@ -188,12 +196,7 @@
 		g.tell(w, id, http.StatusNotFound, "no-route", "no route of this host begins the path; see the configuration", 0)
 		return
 	}
-	left := time.Duration(route.TimeoutMs) * time.Millisecond
-	if text := r.Header.Get(names.Deadline); text != "" {
-		if ms, err := strconv.ParseInt(text, 10, 64); err == nil && ms >= 0 {
-			left = min(left, time.Duration(ms)*time.Millisecond)
-		}
-	}
+	left := g.wait(r, time.Duration(route.TimeoutMs)*time.Millisecond)
 	options := CourseOptions{Self: g.options.Self, Loads: g.loads, Pressure: g.pressure, Draw: g.options.Draw, Route: route, Service: g.pick(route), Token: id, Begun: begun, Until: begun + left, IsReplayable: true}
 	if text := r.Header.Get(names.Key); text != "" {
 		key, err := strconv.ParseUint(text, 10, 16)
--- a/internal/gateway/pressure.go
+++ b/internal/gateway/pressure.go
@@ -90,3 +90,10 @@
 	}
 	return share
 }
+
+// ComeBack spreads the return of refused callers evenly from a half of a mean time to one and a half of it,
+// within what they heed: a part of the time that they have left.
+func ComeBack(mean, left time.Duration, draw func(int64) int64) time.Duration {
+	mean = max(constants.RefuseLeast, min(mean, time.Duration(float64(left)*constants.RefuseHeeded/1.5)))
+	return mean/2 + time.Duration(draw(int64(mean)))
+}
--- a/internal/gateway/pressure_test.go
+++ b/internal/gateway/pressure_test.go
@@ -171,3 +171,53 @@
 		t.Fatalf("%d refused, %d reached the back end", refused, len(slow.got()))
 	}
 }
+
+func TestComeBack(t *testing.T) {
+	for _, c := range []struct {
+		name         string
+		mean, left   time.Duration
+		least, most  time.Duration
+		isSpreadWide bool
+	}{
+		{"much time left", 200 * time.Millisecond, time.Minute, 100 * time.Millisecond, 300 * time.Millisecond, true},
+		{"no later than callers heed", 400 * time.Millisecond, 300 * time.Millisecond, time.Millisecond, 100 * time.Millisecond, true},
+		{"nothing left", 400 * time.Millisecond, 0, time.Millisecond, 3 * time.Millisecond, false},
+		{"past its end", 400 * time.Millisecond, -time.Second, time.Millisecond, 3 * time.Millisecond, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			var low, high time.Duration
+			for i := range int64(100) {
+				got := ComeBack(c.mean, c.left, func(n int64) int64 { return n * i / 100 })
+				if got < c.least || got > c.most {
+					t.Fatalf("%v, want %v to %v", got, c.least, c.most)
+				}
+				if i == 0 {
+					low = got
+				}
+				high = got
+			}
+			if c.isSpreadWide && high < 2*low {
+				t.Fatalf("spread only from %v to %v", low, high)
+			}
+		})
+	}
+}
+
+// All callers refused at one moment must not come back at one moment, and each must be able to heed what it is told.
+func TestRefusedCallersComeBackSpread(t *testing.T) {
+	for _, left := range []time.Duration{2 * time.Second, 300 * time.Millisecond} {
+		told := map[time.Duration]bool{}
+		for i := range int64(50) {
+			w := newWorld(t)
+			w.backend("i-0", "kol-a", "x", isDraining)
+			p := newPlay(w, func(o *CourseOptions) { o.Until, o.Draw = o.Begun+left, func(n int64) int64 { return n * i / 50 } })
+			if p.feed("begun"); p.last.Kind != OrderRefuse || p.last.RetryAfter <= 0 || p.last.RetryAfter > left/3 {
+				t.Fatalf("%v left: told %v", left, p.last.RetryAfter)
+			}
+			told[p.last.RetryAfter] = true
+		}
+		if len(told) < 40 {
+			t.Fatalf("%v left: only %d waits for 50 callers", left, len(told))
+		}
+	}
+}
