A back end that says it is another one rests, so that it does not draw the traffic

That was no failure, so they had the shortest queues and drew the traffic: 1159 refusals in 4 s, most of them "retry-budget" after a 421 (trial run with a log line for each).

Ruled out: load (the services were half idle), the budget (it was spent on the same back ends).

The change: 421 for a service without keys lets the back end rest at once, longer at each more. For keys it may mean only that the key has moved, so nothing changes there.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -398,6 +398,11 @@
 	switch {
 	case isNotRun || answer.Status == http.StatusMisdirectedRequest:
 		finish(false)
+		if answer.Status == http.StatusMisdirectedRequest && !course.IsKeyed {
+			for range constants.FailuresToRest {
+				g.loads.Fail(g.options.Now(), instance)
+			}
+		}
 		return answer, isClean, Event{Kind: EventNotRun, Reason: fmt.Sprintf("status %d, not run", answer.Status), IsOther: answer.Status == http.StatusMisdirectedRequest}
 	case answer.Status >= 200 && answer.Status < 300:
 		if answer.Header.Get(g.options.Names.Seal) == "" || answer.Header.Get("Content-Encoding") != "" {
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -565,6 +565,31 @@
 	}
 }
 
+// Another process at a back end's address turns all away at once: having the shortest queue, it must not draw the traffic.
+func TestABackEndThatIsAnotherOneRests(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		status int
+		most   int
+	}{
+		{"another one", 421, 10},
+		{"only full", 503, 20},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			first, second := newStandIn(t, saying(notRun(c.status))), newStandIn(t, saying(fine))
+			f := newFront(t, first, second)
+			for range 20 {
+				if a := f.get("/safe/x"); a.status != 200 {
+					t.Fatalf("status %d, %s", a.status, a.body)
+				}
+			}
+			if turned := len(first.got()); turned == 0 || turned > c.most {
+				t.Fatalf("%d of 20 were sent to the one that turns all away, want at most %d", turned, c.most)
+			}
+		})
+	}
+}
+
 func TestNotRunByAllIsRefusedWithAPromise(t *testing.T) {
 	one, two := newStandIn(t, saying(notRun(503))), newStandIn(t, saying(notRun(503)))
 	f := newFront(t, one, two)
