Callers' idle and header time-outs follow the configuration in force

Ruled out: setting the server's fields while it serves (a race); closing idle connections from outside (a request just read could be lost); a time-out that begins before the last caller was promised it.

The change: the callers' listener hands out connections that turn the server's two marks into the limits in force; a pure machine says until when. Idle connections follow a change, a shorter limit from the change on; half a second of grace, so that nobody is cut off at the limit itself.

--- a/internal/constants/constants.go
+++ b/internal/constants/constants.go
@@ -390,6 +390,16 @@
 	ListCall = 700 * time.Millisecond
 	// SettingsEvery (time) is how often a routed node looks whether its settings file has changed: nobody need tell it.
 	SettingsEvery = 2 * time.Second
+	// CallerHead (time) that a request's head may take if the configuration says nothing.
+	CallerHead = 5 * time.Second
+	// CallerIdle (time) that a caller's connection may stay idle if the configuration says nothing.
+	CallerIdle = time.Minute
+	// CallerGrace (time) above the configuration's limits: two ways and a packet sent again, so that a caller at its limit is not cut off.
+	CallerGrace = 500 * time.Millisecond
+	// CallerHeadMark (time) stands in a server's settings for the limit of a head in force.
+	CallerHeadMark = 1000 * time.Hour
+	// CallerIdleMark (time) stands there for the limit of an idle connection in force.
+	CallerIdleMark = 3 * CallerHeadMark
 	// TendEvery (time) is how often a gateway drops idle connections and unknown back ends.
 	TendEvery = time.Second
 	// RefusedApart (time) is how far apart two refused connections prove that a back end's process has ended.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -64,6 +64,7 @@
 	tasks    sync.WaitGroup
 	stopping atomic.Bool
 	servers  []*http.Server
+	callers  *gateway.Callers
 	fatal    chan error
 	seam     *Seam
 	gateway  *gateway.Gateway
@@ -224,7 +225,12 @@
 	if err != nil {
 		return fmt.Errorf("listen on %s for %s: %w; free the address or change the setting", address, name, err)
 	}
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: 5 * time.Second, IdleTimeout: time.Minute, MaxHeaderBytes: 64 << 10,
+	head, idle := constants.CallerHead, constants.CallerIdle
+	if n.gateway != nil && handler == http.Handler(n.gateway) {
+		n.callers = gateway.NewCallers(listener, func() *schema.Limits { return n.local.Load().View.Limits })
+		listener, head, idle = n.callers, constants.CallerHeadMark, constants.CallerIdleMark
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: head, IdleTimeout: idle, MaxHeaderBytes: 64 << 10,
 		ErrorLog: slog.NewLogLogger(n.log.With("part", name).Handler(), slog.LevelDebug)}
 	n.servers = append(n.servers, server)
 	n.tasks.Go(func() {
--- a/internal/node/routed.go
+++ b/internal/node/routed.go
@@ -133,6 +133,12 @@
 			return
 		case <-ticker.C:
 			n.gateway.Tend(n.local.Load().View)
+			if n.callers == nil {
+				continue
+			}
+			if err := n.callers.Follow(); err != nil {
+				n.log.Debug("an idle caller's connection ended meanwhile", "reason", err.Error())
+			}
 		}
 	}
 }
