--- a/internal/keys/holds_test.go
+++ b/internal/keys/holds_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"topazshed/internal/constants"
 )
 
 // Deployments may allow much shorter holds, or longer ones; keys stay held in the calm, and none has two holders.
@@ -11,7 +13,7 @@
 		t.Run(most.String(), func(t *testing.T) {
 			t.Parallel()
 			hold := New(Options{Most: most}).hold
-			if most > 0 && hold > most || hold > HoldMost || hold <= 0 {
+			if most > 0 && hold > most || hold > constants.KeyHoldMost || hold <= 0 {
 				t.Fatalf("holds of %v where %v are allowed", hold, most)
 			}
 			w := newWorld(t, 1, 5, "a")
