Forgotten idle connections teach how fresh one must be

Cause: a back end that forgets idle connections resets what is sent next on one.

Ruled out: closings that the peer tells of; those were found already.

Change: gateway.Freshness takes resets of rested connections; then only fresh ones are used. What may be repeated goes to the same back end again on a new connection, which helps those whose keys only it holds.

Tests: TestFreshness; TestForgottenConnections, failing in three of its four cases without the lessons.

--- a/internal/constants/constants.go
+++ b/internal/constants/constants.go
@@ -278,6 +278,16 @@
 	IdleDefault = 8 * time.Second
 	// IdleMargin (time) before a back end closes an idle connection by which it is no longer used.
 	IdleMargin = 1500 * time.Millisecond
+	// FreshLeast (time) that a connection may lie idle while a service's back ends forget idle ones: below any time-out that is worth having, above a few requests in a row.
+	FreshLeast = 100 * time.Millisecond
+	// FreshKept (time) is how long a first lesson of a forgotten connection is kept; each further one is kept twice as long.
+	FreshKept = 8 * time.Second
+	// FreshKeptMost (time) is the longest that one is kept: new connections are paid for.
+	FreshKeptMost = time.Minute
+	// FreshStep (time) is the length of a step in which a lesson is given up: connections may then lie idle twice as long.
+	FreshStep = 2 * time.Second
+	// FreshReset (time) within which the reset of a forgotten connection comes back: two ways over the longest link and a busy machine.
+	FreshReset = 250 * time.Millisecond
 	// IdleMost (connections) to one back end are kept idle.
 	IdleMost = 16
 	// KeepAnswer (bytes) of an answer are read before the first byte goes to the caller, so that a broken one can be sought elsewhere.
--- a/internal/gateway/course.go
+++ b/internal/gateway/course.go
@@ -67,6 +67,8 @@
 	Reason string
 	// IsOther says that the back end is another one than expected, or does not hold the key.
 	IsOther bool
+	// IsForgotten says that the connection broke only because its back end had forgotten it, so that the back end may be asked again.
+	IsForgotten bool
 }
 
 // CourseOptions make a Course.
@@ -142,7 +144,9 @@
 	case EventBroken:
 		c.mayRun = true
 		c.reason = e.Reason
-		c.tried = append(c.tried, c.choice.Backend.Instance)
+		if !e.IsForgotten {
+			c.tried = append(c.tried, c.choice.Backend.Instance)
+		}
 		if !c.Route.Repeatable || !c.IsReplayable || c.sent >= c.most() {
 			return c.end(now, RefusalBusy)
 		}
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -13,6 +14,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"topazshed/internal/constants"
@@ -28,6 +30,8 @@
 	idleAt time.Time
 	life   time.Duration
 	isUsed bool
+	// rested is how long it lay idle before its present use.
+	rested time.Duration
 }
 
 type poolShard struct {
@@ -41,12 +45,14 @@
 	dialer net.Dialer
 	stats  *Stats
 	isShut bool
+	fresh  *Freshness
+	since  time.Time
 	lock   sync.Mutex
 }
 
 // NewPool makes a pool that dials from a local address.
 func NewPool(local string, stats *Stats) *Pool {
-	p := &Pool{stats: stats}
+	p := &Pool{stats: stats, fresh: NewFreshness(), since: time.Now()}
 	p.dialer.KeepAliveConfig = net.KeepAliveConfig{Enable: true, Idle: constants.KeepAliveIdle, Interval: constants.KeepAliveEvery, Count: constants.KeepAliveCount}
 	p.dialer.Control = sockets.Silence(constants.BackendSilence)
 	if address, err := netip.ParseAddrPort(local); err == nil {
@@ -58,14 +64,18 @@
 	return p
 }
 
-// Get gives an idle connection to an instance or a new one.
-func (p *Pool) Get(ctx context.Context, b *schema.Backend, wait time.Duration) (*Conn, error) {
+// Get gives an idle connection to an instance or a new one; the newest idle one must be fresh enough for what is to be sent.
+func (p *Pool) Get(ctx context.Context, b *schema.Backend, wait time.Duration, isRepeatable bool) (*Conn, error) {
+	bound := p.bound(b.Service, isRepeatable)
 	s := &p.shards[shardOf(b.Instance)]
 	s.lock.Lock()
 	for n := len(s.idle[b.Instance]); n > 0; n = len(s.idle[b.Instance]) {
 		conn := s.idle[b.Instance][n-1]
+		if conn.rested = time.Since(conn.idleAt); conn.rested > bound {
+			break
+		}
 		s.idle[b.Instance] = s.idle[b.Instance][:n-1]
-		if time.Since(conn.idleAt) > conn.life || conn.RemoteAddr().String() != b.Address || !conn.isQuiet() {
+		if conn.rested > conn.life || conn.RemoteAddr().String() != b.Address || !conn.isQuiet() {
 			conn.Close()
 			continue
 		}
@@ -83,6 +93,19 @@
 	return &Conn{Conn: raw, reader: bufio.NewReaderSize(raw, 4<<10), writer: bufio.NewWriterSize(raw, 2<<10), life: constants.IdleDefault}, nil
 }
 
+func (p *Pool) bound(service string, isRepeatable bool) time.Duration {
+	p.lock.Lock()
+	defer p.lock.Unlock()
+	return p.fresh.Bound(time.Since(p.since), service, isRepeatable)
+}
+
+// Forgot notes that a connection was reset at once, and tells whether its back end had forgotten it while it lay idle.
+func (p *Pool) Forgot(service string, conn *Conn) bool {
+	p.lock.Lock()
+	defer p.lock.Unlock()
+	return conn.isUsed && p.fresh.Forgot(time.Since(p.since), service, conn.rested)
+}
+
 func (c *Conn) isQuiet() bool {
 	if c.reader.Buffered() > 0 {
 		return false
@@ -178,8 +201,9 @@
 
 // BrokenError says that bytes were written and no whole, trustworthy answer came.
 type BrokenError struct {
-	Reason  string
-	Unbegun bool
+	Reason string
+	// IsUnbegun says that the connection ended before a byte of the answer came.
+	IsUnbegun bool
 }
 
 func (e *BrokenError) Error() string {
@@ -235,6 +259,9 @@
 }
 
 func (x *exchange) read(conn *Conn) (*Answer, bool, error) {
+	if _, err := conn.reader.Peek(1); err != nil {
+		return nil, false, &BrokenError{Reason: "no answer: " + err.Error(), IsUnbegun: err == io.EOF || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)}
+	}
 	for skipped := 0; ; {
 		response, err := http.ReadResponse(conn.reader, x.request)
 		if err != nil {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -283,7 +283,7 @@
 			answer = nil
 			instance := order.Backend.Instance
 			g.loads.Begin(instance)
-			fresh, err := g.pool.Get(ctx, order.Backend, order.Wait)
+			fresh, err := g.pool.Get(ctx, order.Backend, order.Wait, course.Route.Repeatable)
 			if err != nil {
 				g.loads.End(g.options.Now(), instance, 0, false)
 				event = Event{Kind: EventUnreached, Reason: err.Error()}
@@ -388,6 +388,11 @@
 	}
 	answer, isClean, err := x.read(conn)
 	if err != nil {
+		var end *BrokenError
+		if errors.As(err, &end) && end.IsUnbegun && ctx.Err() == nil && g.options.Now()-begun < constants.FreshReset && g.pool.Forgot(order.Backend.Service, conn) {
+			finish(false)
+			return nil, false, Event{Kind: EventBroken, Reason: "the back end had forgotten the idle connection: " + err.Error(), IsForgotten: true}
+		}
 		if writeErr != nil {
 			err = fmt.Errorf("%w (while writing: %v)", err, writeErr)
 		}
