Back ends that fail requests are ejected by each node, by their answers

With three of 24 back ends ill for 6.5 s a fleet of twelve nodes met 47 (errors in 45 of 100) to 83 (errors in all) failures.

Ruled out: health answers as the judge (a routed fleet asks for none, they lie either way and are paid for); a mere penalty in the cost.

Change: gateway.Outliers, a pure machine, judges back ends beside the others of their service: ejected at an outlying share of failures, out for 0.8 s doubled up to 4 s, then one request at a time; overdue ones count as out; three tenths at the most. The holder of a key is sent to as before.

Tests: TestOutliers, TestChoiceAmongOutliers, TestOutliersInAFleet (each illness beside the same without judgement: 47 to 17, 83 to 13 failures), TestAFailingBackEndIsLeftOut (failed in four of five cases while the floor let none of two be out).

--- a/internal/constants/constants.go
+++ b/internal/constants/constants.go
@@ -262,6 +262,32 @@
 	RestLeast = 300 * time.Millisecond
 	// RestMost (time) of a resting back end: one attempt then shows whether it is back.
 	RestMost = 2 * time.Second
+	// OutlierHalfLife (time) after which what an attempt told of a back end counts half: a node may send one request in two seconds to each.
+	OutlierHalfLife = 4 * time.Second
+	// OutlierShare (parts) of attempts that fail from which a back end is an outlier while the others of its service are well: one failure among the few that a node sees of one.
+	OutlierShare = 0.2
+	// OutlierOver (times) the share of the others that fail is added, so that a trouble of all ejects none.
+	OutlierOver = 2.0
+	// OutlierDeclines (attempts) that a back end must have declined before that counts, faded: two within some seconds, since full ones decline too.
+	OutlierDeclines = 1.5
+	// OutlierOut (time) of a first ejection, doubled at each further one: a crashed back end is back in some seconds.
+	OutlierOut = 800 * time.Millisecond
+	// OutlierOutMost (time) of an ejection.
+	OutlierOutMost = 4 * time.Second
+	// OutlierTrials (requests) in a row that must go well, one at a time, before an ejected back end counts as sound: its next failure ejects it again, for twice as long.
+	OutlierTrials = 1
+	// OutlierForgiven (time) that a back end must have been sound before its former ejections count no more: several periods of one that goes down and up.
+	OutlierForgiven = 15 * time.Second
+	// OutlierOverdue (times) the usual time of its service an attempt may take before its back end counts as out: above nearly all that are only long.
+	OutlierOverdue = 4
+	// OutlierOverdueLeast (time) is the least that counts as overdue: a hiccup of a link or machine is shorter.
+	OutlierOverdueLeast = 400 * time.Millisecond
+	// OutlierUsualWeight (parts) of the newest answer's time in the usual one.
+	OutlierUsualWeight = 0.05
+	// OutlierFloor (percent) of the open back ends of a service that may be out at a node, and always one; of more, those whose time is over first are used.
+	OutlierFloor = 30
+	// OutlierPenalty (times) makes a back end dearer that is used although it is out.
+	OutlierPenalty = 3.0
 	// SearchesMost (back ends) are sought for one request, connected or not.
 	SearchesMost = 5
 	// BackendConnect (time) bounds a connection to a back end: two ways over the longest link and a busy machine.
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -54,6 +55,7 @@
 	reading Reading
 	cost    float64
 	isCold  bool
+	outTo   time.Duration
 }
 
 func isOpen(view *image.View, backend *schema.Backend) bool {
@@ -127,7 +129,8 @@
 	refusal := RefusalBusy
 	var best *candidate
 	aim := float64(time.Duration(max(s.Route.TargetMs, 100)) * time.Millisecond)
-	var resting []candidate
+	var resting, out []candidate
+	open := 0
 	for rank, place := range places {
 		for _, backend := range service.Backends {
 			if !isOpen(s.View, backend) || !place.Holds(backend.District) || slices.Contains(s.Tried, backend.Instance) {
@@ -146,10 +149,16 @@
 				c.cost += aim * constants.DistrictPenalty
 			}
 			c.cost *= 1 + float64(s.Draw(1000))/1000*constants.CostJitter
+			open++
 			if c.reading.IsResting {
 				resting = append(resting, c)
 				continue
 			}
+			if standing, until := s.Loads.Standing(s.Now, s.Service, backend.Instance); standing == StandingOut && !c.isCold {
+				c.outTo = until
+				out = append(out, c)
+				continue
+			}
 			if c.isCold {
 				if len(backend.Sponsors) == 0 || !slices.Contains(backend.Sponsors, s.Self.Id) {
 					refusal = RefusalCold
@@ -166,7 +175,15 @@
 			}
 		}
 	}
+	// So many may be out and no more: above that, those whose time is over first are used, dearer than the sound ones.
+	slices.SortFunc(out, func(a, b candidate) int { return cmp.Compare(a.outTo, b.outTo) })
+	for i := range max(0, len(out)-max(1, open*constants.OutlierFloor/100)) {
+		if out[i].cost *= constants.OutlierPenalty; best == nil || out[i].cost < best.cost {
+			best = &out[i]
+		}
+	}
 	if best == nil {
+		resting = append(out, resting...)
 		for i := range resting {
 			if c := &resting[i]; !c.isCold && (best == nil || c.cost < best.cost) {
 				best = c
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -289,6 +289,7 @@
 				event = Event{Kind: EventUnreached, Reason: err.Error()}
 				if ctx.Err() == nil || errors.Is(err, syscall.ECONNREFUSED) {
 					g.loads.Fail(g.options.Now(), instance)
+					g.loads.Judge(g.options.Now(), course.Service, instance, VerdictFailed, 0)
 				}
 				if errors.Is(ctx.Err(), context.Canceled) {
 					panic(http.ErrAbortHandler)
@@ -355,8 +356,14 @@
 func (g *Gateway) send(ctx context.Context, x *exchange, conn *Conn, order Order, course *Course) (*Answer, bool, Event) {
 	instance := order.Backend.Instance
 	begun := g.options.Now()
+	g.loads.Start(begun, instance)
+	judge := func(verdict Verdict) {
+		now := g.options.Now()
+		g.loads.Judge(now, course.Service, instance, verdict, now-begun)
+	}
 	finish := func(isServed bool) {
 		now := g.options.Now()
+		g.loads.Stop(instance, begun)
 		g.loads.End(now, instance, now-begun, isServed)
 		if isServed || ctx.Err() != nil {
 			g.pressure.Note(now, course.Service, instance, now-begun)
@@ -371,9 +378,13 @@
 	broken := func(reason string) (*Answer, bool, Event) {
 		finish(false)
 		if ctx.Err() != nil {
+			if errors.Is(ctx.Err(), context.DeadlineExceeded) && g.loads.IsOverdue(course.Service, g.options.Now()-begun) {
+				judge(VerdictFailed)
+			}
 			return nil, false, Event{Kind: EventExpired, Reason: reason}
 		}
 		g.loads.Fail(g.options.Now(), instance)
+		judge(VerdictFailed)
 		return nil, false, Event{Kind: EventBroken, Reason: reason}
 	}
 	writeErr := x.write(conn, course.Until-begun)
@@ -403,7 +414,10 @@
 	switch {
 	case isNotRun || answer.Status == http.StatusMisdirectedRequest:
 		finish(false)
-		if answer.Status == http.StatusMisdirectedRequest && !course.IsKeyed {
+		switch {
+		case answer.Status != http.StatusMisdirectedRequest:
+			judge(VerdictDeclined)
+		case !course.IsKeyed:
 			for range constants.FailuresToRest {
 				g.loads.Fail(g.options.Now(), instance)
 			}
@@ -414,14 +428,17 @@
 			return broken("the answer has no seal")
 		}
 		finish(true)
+		judge(VerdictSound)
 		return answer, isClean, Event{Kind: EventAnswered}
 	case answer.Status == http.StatusTooManyRequests || answer.Status == http.StatusServiceUnavailable || answer.Status == http.StatusRequestTimeout:
 		return broken(fmt.Sprintf("status %d without word that it has not run", answer.Status))
 	case answer.Status >= 500:
 		finish(false)
+		judge(VerdictFailed)
 		return answer, isClean, Event{Kind: EventErrored, Reason: fmt.Sprintf("status %d", answer.Status)}
 	}
 	finish(true)
+	judge(VerdictSound)
 	return answer, isClean, Event{Kind: EventAnswered}
 }
 
--- /dev/null
+++ b/internal/gateway/outliers.go
@@ -0,0 +1,195 @@
+package gateway
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"topazshed/internal/constants"
+)
+
+// Verdict is what an attempt tells of its back end.
+type Verdict int
+
+// The verdicts on attempts.
+const (
+	// VerdictSound: a whole answer that may be passed on.
+	VerdictSound Verdict = iota
+	// VerdictFailed: an error of the back end's own, a broken or untrustworthy answer, silence, or no connection.
+	VerdictFailed
+	// VerdictDeclined: the back end says that it did not run the request. Full ones say so too, so that it counts only beside the others of the service.
+	VerdictDeclined
+)
+
+// Standing is how a node takes a back end.
+type Standing int
+
+// The standings of a back end at a node.
+const (
+	// StandingSound: it gets its share.
+	StandingSound Standing = iota
+	// StandingOut: it is ejected, and gets a request only if nothing else is left.
+	StandingOut
+	// StandingTrial: its time out is over, and one request at a time shows whether it is well.
+	StandingTrial
+)
+
+type suspect struct {
+	good, bad float64
+	at        time.Duration
+	standing  Standing
+	strikes   int
+	until     time.Duration
+	trials    int
+	soundAt   time.Duration
+	started   []time.Duration
+}
+
+type tally struct {
+	good, bad float64
+	at        time.Duration
+	usual     time.Duration
+}
+
+// Outliers judges the back ends of services by what becomes of attempts, each beside the others of its service; it is a pure state machine.
+// Health answers play no part, so that a lying one neither ejects a back end nor keeps it in.
+type Outliers struct {
+	suspects map[string]*suspect
+	tallies  map[string]*tally
+}
+
+// NewOutliers makes one that has seen nothing.
+func NewOutliers() *Outliers {
+	return &Outliers{suspects: map[string]*suspect{}, tallies: map[string]*tally{}}
+}
+
+func faded(span time.Duration) float64 {
+	return math.Exp2(-float64(span) / float64(constants.OutlierHalfLife))
+}
+
+func (o *Outliers) suspect(now time.Duration, id string) *suspect {
+	s := o.suspects[id]
+	if s == nil {
+		s = &suspect{at: now}
+		o.suspects[id] = s
+	}
+	return s
+}
+
+func (o *Outliers) tally(now time.Duration, service string) *tally {
+	t := o.tallies[service]
+	if t == nil {
+		t = &tally{at: now}
+		o.tallies[service] = t
+	}
+	return t
+}
+
+// Start notes that an attempt was sent.
+func (o *Outliers) Start(now time.Duration, id string) {
+	s := o.suspect(now, id)
+	s.started = append(s.started, now)
+}
+
+// Stop notes that the attempt that was sent then has ended, whatever came of it.
+func (o *Outliers) Stop(id string, started time.Duration) {
+	if s := o.suspects[id]; s != nil {
+		if at := slices.Index(s.started, started); at >= 0 {
+			s.started = slices.Delete(s.started, at, at+1)
+		}
+	}
+}
+
+// Judge takes the verdict on an attempt that took so long.
+func (o *Outliers) Judge(now time.Duration, service, id string, verdict Verdict, took time.Duration) {
+	s, t := o.suspect(now, id), o.tally(now, service)
+	own, all := faded(now-s.at), faded(now-t.at)
+	s.good, s.bad, s.at = s.good*own, s.bad*own, now
+	t.good, t.bad, t.at = t.good*all, t.bad*all, now
+	if verdict == VerdictSound {
+		s.good++
+		t.good++
+		if t.usual == 0 {
+			t.usual = took
+		}
+		t.usual += time.Duration(constants.OutlierUsualWeight * float64(took-t.usual))
+		o.pass(now, s)
+		return
+	}
+	s.bad++
+	t.bad++
+	o.fail(now, s, t, verdict)
+}
+
+func (o *Outliers) pass(now time.Duration, s *suspect) {
+	switch s.standing {
+	case StandingOut, StandingTrial:
+		if now < s.until {
+			return
+		}
+		if s.trials++; s.trials < constants.OutlierTrials {
+			return
+		}
+		s.standing, s.soundAt, s.good, s.bad = StandingSound, now, 0, 0
+	case StandingSound:
+		if s.strikes > 0 && now-s.soundAt >= constants.OutlierForgiven {
+			s.strikes = 0
+		}
+	}
+}
+
+func (o *Outliers) fail(now time.Duration, s *suspect, t *tally, verdict Verdict) {
+	switch {
+	case s.standing == StandingOut && now < s.until:
+		return
+	case s.standing != StandingSound:
+	default:
+		// The others' share is that of the service without this back end.
+		others := (t.bad - s.bad) / max(1, t.bad+t.good-s.bad-s.good)
+		least := constants.OutlierShare + constants.OutlierOver*max(0, others)
+		if verdict == VerdictDeclined && s.bad < constants.OutlierDeclines || s.bad < least*(s.bad+s.good) {
+			return
+		}
+	}
+	if s.strikes > 0 && s.standing == StandingSound && now-s.soundAt >= constants.OutlierForgiven {
+		s.strikes = 0
+	}
+	s.standing, s.trials = StandingOut, 0
+	s.until = now + min(constants.OutlierOutMost, constants.OutlierOut<<min(s.strikes, 8))
+	s.strikes++
+}
+
+// Standing is how a back end stands now, and until when it is out. One that has not answered for much longer than is usual counts as out until it does.
+func (o *Outliers) Standing(now time.Duration, service, id string) (Standing, time.Duration) {
+	s := o.suspects[id]
+	switch {
+	case s == nil:
+		return StandingSound, 0
+	case o.isOverdue(now, service, s):
+		return StandingOut, max(s.until, now+constants.OutlierOut)
+	case s.standing == StandingSound:
+		return StandingSound, 0
+	case now < s.until, len(s.started) > 0:
+		return StandingOut, s.until
+	}
+	return StandingTrial, 0
+}
+
+// IsOverdue tells that an attempt at a service which has taken so long takes much longer than is usual there.
+func (o *Outliers) IsOverdue(service string, took time.Duration) bool {
+	t := o.tallies[service]
+	return t != nil && t.usual > 0 && took > max(constants.OutlierOverdueLeast, constants.OutlierOverdue*t.usual)
+}
+
+func (o *Outliers) isOverdue(now time.Duration, service string, s *suspect) bool {
+	return len(s.started) > 0 && o.IsOverdue(service, now-s.started[0])
+}
+
+// Keep forgets the back ends that are no longer known and have no attempt in flight.
+func (o *Outliers) Keep(isKnown func(id string) bool) {
+	for id, s := range o.suspects {
+		if len(s.started) == 0 && !isKnown(id) {
+			delete(o.suspects, id)
+		}
+	}
+}
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -43,16 +43,22 @@
 	usual     map[string]time.Duration
 }
 
+type judged struct {
+	lock sync.Mutex
+	*Outliers
+}
+
 // Loads are the hot tables of a gateway: attempts in flight, delays, cold parts, retry budgets and key heat, sharded with a lock each.
 type Loads struct {
 	shards [shards]shard
+	judged judged
 	bounds Bounds
 	since  time.Duration
 }
 
 // NewLoads makes empty tables; since is when this process began, whose former life may have spent its part of the slack.
 func NewLoads(since time.Duration, bounds Bounds) *Loads {
-	l := &Loads{bounds: bounds, since: since}
+	l := &Loads{bounds: bounds, since: since, judged: judged{Outliers: NewOutliers()}}
 	for i := range l.shards {
 		l.shards[i] = shard{instances: map[string]*instance{}, windows: map[string]*budget.Bucket{}, heat: map[string]map[uint32]uint32{}, usual: map[string]time.Duration{}}
 	}
@@ -99,6 +105,41 @@
 	i.at = now
 }
 
+// Start notes that an attempt was sent to a back end.
+func (l *Loads) Start(now time.Duration, id string) {
+	l.judged.lock.Lock()
+	defer l.judged.lock.Unlock()
+	l.judged.Outliers.Start(now, id)
+}
+
+// Stop notes that the attempt which was sent then has ended.
+func (l *Loads) Stop(id string, started time.Duration) {
+	l.judged.lock.Lock()
+	defer l.judged.lock.Unlock()
+	l.judged.Outliers.Stop(id, started)
+}
+
+// Judge takes the verdict on an attempt that took so long.
+func (l *Loads) Judge(now time.Duration, service, id string, verdict Verdict, took time.Duration) {
+	l.judged.lock.Lock()
+	defer l.judged.lock.Unlock()
+	l.judged.Outliers.Judge(now, service, id, verdict, took)
+}
+
+// IsOverdue tells that an attempt at a service which has taken so long takes much longer than is usual there.
+func (l *Loads) IsOverdue(service string, took time.Duration) bool {
+	l.judged.lock.Lock()
+	defer l.judged.lock.Unlock()
+	return l.judged.Outliers.IsOverdue(service, took)
+}
+
+// Standing is how this node takes a back end.
+func (l *Loads) Standing(now time.Duration, service, id string) (Standing, time.Duration) {
+	l.judged.lock.Lock()
+	defer l.judged.lock.Unlock()
+	return l.judged.Outliers.Standing(now, service, id)
+}
+
 // Fail notes that a back end was not reached or broke off; it rests for a time that grows.
 func (l *Loads) Fail(now time.Duration, id string) {
 	s, free := l.in(id)
@@ -245,6 +286,9 @@
 
 // Keep forgets the back ends that are no longer known.
 func (l *Loads) Keep(isKnown func(id string) bool) {
+	l.judged.lock.Lock()
+	l.judged.Outliers.Keep(isKnown)
+	l.judged.lock.Unlock()
 	for n := range l.shards {
 		s := &l.shards[n]
 		s.lock.Lock()
