Three nodes' words make a back end failing for the whole fleet

Keys stayed with a holder that fails.

Ruled out: judging more sharply at each node (one failure is enough already); counts of all attempts in beats (bytes in calm times).

Change: beats name the back ends that a node ejected or that do not answer (nothing in calm times); relays join them; roster.Jury, a pure machine of the leader, makes one failing in its row, with a floor, times that double, and trials by two named nodes. Failing ones get nothing; holders lose their keys with a handover.

--- a/internal/constants/constants.go
+++ b/internal/constants/constants.go
@@ -288,6 +288,24 @@
 	OutlierFloor = 30
 	// OutlierPenalty (times) makes a back end dearer that is used although it is out.
 	OutlierPenalty = 3.0
+	// JuryVotes (nodes) whose requests a back end failed within the window make it failing for all: one loses a request now and then, three seldom the same one's.
+	JuryVotes = 3
+	// JuryWindow (time) for which a node's word counts: two beats through a relay.
+	JuryWindow = 2 * time.Second
+	// JuryOut (time) of a first verdict, doubled at each further one: several beats, so that one that is well again is soon back.
+	JuryOut = 2500 * time.Millisecond
+	// JuryOutMost (time) of a verdict.
+	JuryOutMost = 20 * time.Second
+	// JuryTrial (time) after which a failing back end that nobody tried is cleared.
+	JuryTrial = 3 * time.Second
+	// JuryGoods (requests) that must go well on trial.
+	JuryGoods = 2
+	// JurySponsors (nodes) may try a failing back end.
+	JurySponsors = 2
+	// JuryForgiven (time) that a back end must have been clear before its former verdicts count no more: several periods of one that goes down and up.
+	JuryForgiven = 30 * time.Second
+	// JuryFloor (percent) of a service's back ends that may be failing by verdict: the rest bear a third more then. If more are doubted, the trouble may be elsewhere and twice the votes are needed.
+	JuryFloor = 25
 	// SearchesMost (back ends) are sought for one request, connected or not.
 	SearchesMost = 5
 	// BackendConnect (time) bounds a connection to a back end: two ways over the longest link and a busy machine.
--- a/internal/core/beats.go
+++ b/internal/core/beats.go
@@ -133,6 +133,7 @@
 			if len(beat.Heat) == 0 {
 				beat.Heat = was.Heat
 			}
+			beat.Vitals = append(was.Vitals, beat.Vitals...)
 		}
 		c.routed.relayed[beat.Node.GetId()] = beat
 		if beat.Node.State == schema.NodeState_NODE_STOPPING || beat.Node.Address != "" && c.view.Nodes[beat.Node.Id] == nil {
@@ -168,6 +169,7 @@
 	if len(b.Heat) > 0 {
 		c.routed.noteHeat(c.now, b.Node.Id, b.Heat)
 	}
+	c.routed.jury.Report(c.now, b.Node.Id, b.Node.District, b.Vitals)
 }
 
 // introduce gives some of the nodes that a node which asks should know: a sample of the views, and in a routed fleet the disk machines of its own region.
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -511,6 +511,9 @@
 	b := &schema.Beat{Node: c.near.Self(), Version: c.table.Version(), Vitals: c.vitals, Suspects: c.near.Suspects(), Serial: c.serial, Keepers: c.keepers, KeeperReady: c.isKeeping, Floor: c.floor}
 	if c.routed != nil {
 		b.Heat = c.routed.takeHeat(c.now)
+		if vitals := c.routed.options.Vitals; vitals != nil {
+			b.Vitals = vitals()
+		}
 		c.beatRouted(b)
 		return
 	}
--- a/internal/core/routed.go
+++ b/internal/core/routed.go
@@ -32,6 +32,8 @@
 	Fits func(*schema.Record) bool
 	// Heat gives the requests by key since it was last asked.
 	Heat func(since time.Duration) []*schema.KeyHeat
+	// Vitals give the back ends that failed this node's requests, or served it although they are failing, since it was last asked; nil is none.
+	Vitals func() []*schema.Vital
 }
 
 type nodeHeat struct {
@@ -49,6 +51,7 @@
 	options  *Routed
 	granter  *keys.Granter
 	watch    *roster.Watch
+	jury     *roster.Jury
 	listing  *roster.Listing
 	life     uint64
 	heats    map[string][]nodeHeat
@@ -75,6 +78,7 @@
 func (r *routedState) resign(options Options) {
 	r.granter = keys.New(keys.Options{Most: options.Routed.HoldMost})
 	r.watch = roster.NewWatch(options.Routed.ListLag)
+	r.jury = roster.NewJury()
 	r.listing = nil
 	r.heats = map[string][]nodeHeat{}
 	r.life++
@@ -165,6 +169,9 @@
 	} else if record != nil {
 		r.listing = listing
 	}
+	if record := r.jury.Plan(c.now, c.view, c.table); record != nil && c.propose(record) {
+		c.log.Info("back ends failing or well again", "rows", len(record.Rows))
+	}
 	for _, record := range standing.PlanPlaces(c.view, c.table) {
 		if c.propose(record) {
 			c.log.Info("standing", "change", record.Reason)
--- /dev/null
+++ b/internal/core/vitals_test.go
@@ -0,0 +1,87 @@
+package core
+
+import (
+	"fmt"
+	"io"
+	"log/slog"
+	"testing"
+	"time"
+
+	"topazshed/internal/roster"
+	"topazshed/internal/schema"
+)
+
+func TestNodesWordsMakeABackEndFailing(t *testing.T) {
+	vitals := func(ids ...string) []*schema.Vital {
+		var told []*schema.Vital
+		for _, id := range ids {
+			told = append(told, &schema.Vital{Instance: id, Failing: true})
+		}
+		return told
+	}
+	for _, c := range []struct {
+		name string
+		// told by the leader itself, straight to it, and through a relay in one beat.
+		own, straight, relayed []*schema.Vital
+		want                   bool
+	}{
+		{"the leader's word alone", vitals("i-0"), nil, nil, false},
+		{"words that name different ones", vitals("i-0"), vitals("i-1"), vitals("i-2"), false},
+		{"the leader's, a node's and a relayed word", vitals("i-0"), vitals("i-0"), vitals("i-0", "i-3"), true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			node := func(id string) *schema.Node {
+				return &schema.Node{Id: id, Address: id, Proxy: id, Door: id, District: "d", Region: "r", Disk: id == "a", Incarnation: 1, State: schema.NodeState_NODE_READY}
+			}
+			core := New(time.Hour, Options{Self: node("a"), Seeds: []string{"a"}, Draw: func(int64) int64 { return 0 }, Log: slog.New(slog.NewTextHandler(io.Discard, nil)),
+				Routed: &Routed{HoldMost: 10 * time.Second, ColdBearable: func(*schema.ServicePolicy) int { return 1 }, Vitals: func() []*schema.Vital { return c.own }}})
+			isFailing := false
+			for now := time.Hour; now < time.Hour+12*time.Second; now += 20 * time.Millisecond {
+				core.Tick(now)
+				if core.IsLeading() {
+					var items []roster.Listed
+					for i := range 8 {
+						id := fmt.Sprint("i-", i)
+						items = append(items, roster.Listed{Service: "copper", Instance: id, Address: id, District: "d", Slots: 6})
+					}
+					core.SetListing(now, roster.Listing{Items: items, BegunAt: now, IsWhole: true})
+					for i := range 4 {
+						core.noteBeat(&schema.Beat{Node: node(fmt.Sprint("idle-", i))})
+					}
+					core.takeBeatRouted(nil, &schema.Beat{Node: node("b"), Vitals: c.straight, Relayed: []*schema.Beat{{Node: node("c"), Vitals: c.relayed}}})
+				}
+				for range 8 {
+					effects := core.Take()
+					if !effects.IsWork {
+						break
+					}
+					core.Synced(now, effects)
+				}
+				if service := core.view.Services["copper"]; service != nil {
+					for _, b := range service.Backends {
+						if b.Failing && b.Instance != "i-0" {
+							t.Fatalf("%s is failing", b.Instance)
+						}
+						isFailing = isFailing || b.Failing
+					}
+				}
+			}
+			if len(core.view.Services["copper"].Backends) != 8 || isFailing != c.want {
+				t.Fatalf("%d back ends; failing %v, want %v", len(core.view.Services["copper"].Backends), isFailing, c.want)
+			}
+		})
+	}
+}
+
+func TestRelaysJoinTheWordsOfOneNode(t *testing.T) {
+	peer := &schema.Node{Id: "b", Address: "b", District: "d", Region: "r", State: schema.NodeState_NODE_READY}
+	core := New(time.Hour, Options{Self: &schema.Node{Id: "a", Address: "a", District: "d", Region: "r", Disk: true, State: schema.NodeState_NODE_READY}, Seeds: []string{"s"}, System: "x",
+		Draw: func(int64) int64 { return 0 }, Log: slog.New(slog.NewTextHandler(io.Discard, nil)), Routed: &Routed{HoldMost: time.Second, ColdBearable: func(*schema.ServicePolicy) int { return 1 }}})
+	for _, id := range []string{"i-1", "i-2"} {
+		core.takeBeatRouted(nil, &schema.Beat{Node: peer, Vitals: []*schema.Vital{{Instance: id, Failing: true}}})
+	}
+	core.takeBeatRouted(nil, &schema.Beat{Node: peer})
+	if told := core.routed.relayed["b"].GetVitals(); len(told) != 2 {
+		t.Fatalf("the relay tells %v", told)
+	}
+}
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -154,6 +154,11 @@
 				resting = append(resting, c)
 				continue
 			}
+			if backend.Failing && !c.isCold && !slices.Contains(backend.Sponsors, s.Self.Id) {
+				c.outTo = s.Now + constants.OutlierOutMost
+				out = append(out, c)
+				continue
+			}
 			if standing, until := s.Loads.Standing(s.Now, s.Service, backend.Instance); standing == StandingOut && !c.isCold {
 				c.outTo = until
 				out = append(out, c)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -106,6 +106,19 @@
 	g.pressure.Keep(isKnown)
 }
 
+// Vitals are the back ends that failed this node's requests, or served it although they are failing, since it was last asked.
+func (g *Gateway) Vitals() []*schema.Vital {
+	failing := map[string]bool{}
+	for _, service := range g.options.Local().View.Services {
+		for _, backend := range service.Backends {
+			if backend.Failing {
+				failing[backend.Instance] = true
+			}
+		}
+	}
+	return g.loads.TakeVitals(g.options.Now(), func(id string) bool { return failing[id] })
+}
+
 type fault struct {
 	Kind    string `json:"kind"`
 	Message string `json:"message"`
--- a/internal/gateway/outliers.go
+++ b/internal/gateway/outliers.go
@@ -1,11 +1,13 @@
 package gateway
 
 import (
+	"maps"
 	"math"
 	"slices"
 	"time"
 
 	"topazshed/internal/constants"
+	"topazshed/internal/schema"
 )
 
 // Verdict is what an attempt tells of its back end.
@@ -43,6 +45,9 @@
 	trials    int
 	soundAt   time.Duration
 	started   []time.Duration
+	service   string
+	// hasFailed and hasServed are what was not told yet.
+	hasFailed, hasServed bool
 }
 
 type tally struct {
@@ -103,12 +108,14 @@
 // Judge takes the verdict on an attempt that took so long.
 func (o *Outliers) Judge(now time.Duration, service, id string, verdict Verdict, took time.Duration) {
 	s, t := o.suspect(now, id), o.tally(now, service)
+	s.service = service
 	own, all := faded(now-s.at), faded(now-t.at)
 	s.good, s.bad, s.at = s.good*own, s.bad*own, now
 	t.good, t.bad, t.at = t.good*all, t.bad*all, now
 	if verdict == VerdictSound {
 		s.good++
 		t.good++
+		s.hasServed = true
 		if t.usual == 0 {
 			t.usual = took
 		}
@@ -154,6 +161,7 @@
 	if s.strikes > 0 && s.standing == StandingSound && now-s.soundAt >= constants.OutlierForgiven {
 		s.strikes = 0
 	}
+	s.hasFailed = true
 	s.standing, s.trials = StandingOut, 0
 	s.until = now + min(constants.OutlierOutMost, constants.OutlierOut<<min(s.strikes, 8))
 	s.strikes++
@@ -185,6 +193,21 @@
 	return len(s.started) > 0 && o.IsOverdue(service, now-s.started[0])
 }
 
+// TakeVitals gives the back ends that were ejected or did not answer since it was last asked, and those that served although they are failing for the whole fleet.
+func (o *Outliers) TakeVitals(now time.Duration, isFailing func(id string) bool) []*schema.Vital {
+	var vitals []*schema.Vital
+	for _, id := range slices.Sorted(maps.Keys(o.suspects)) {
+		s := o.suspects[id]
+		if s.hasFailed || o.isOverdue(now, s.service, s) {
+			vitals = append(vitals, &schema.Vital{Instance: id, Failing: true})
+		} else if s.hasServed && isFailing(id) {
+			vitals = append(vitals, &schema.Vital{Instance: id})
+		}
+		s.hasFailed, s.hasServed = false, false
+	}
+	return vitals
+}
+
 // Keep forgets the back ends that are no longer known and have no attempt in flight.
 func (o *Outliers) Keep(isKnown func(id string) bool) {
 	for id, s := range o.suspects {
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -133,6 +133,13 @@
 	return l.judged.Outliers.IsOverdue(service, took)
 }
 
+// TakeVitals gives the back ends that failed requests, or that served although they are failing, since it was last asked.
+func (l *Loads) TakeVitals(now time.Duration, isFailing func(id string) bool) []*schema.Vital {
+	l.judged.lock.Lock()
+	defer l.judged.lock.Unlock()
+	return l.judged.Outliers.TakeVitals(now, isFailing)
+}
+
 // Standing is how this node takes a back end.
 func (l *Loads) Standing(now time.Duration, service, id string) (Standing, time.Duration) {
 	l.judged.lock.Lock()
--- a/internal/keys/step.go
+++ b/internal/keys/step.go
@@ -397,7 +397,7 @@
 // mustLeave tells whether a holder is to lose all its keys, and whether a part at a time.
 func (s *step) mustLeave(backend *schema.Backend) (bool, bool) {
 	_, isShunned := s.m.shunned[backend.Instance]
-	return isShunned || backend.State == schema.BackendState_BACKEND_DRAINING || s.isEmptied(backend) || s.isAbroad(backend), !isShunned
+	return isShunned || backend.Failing || backend.State == schema.BackendState_BACKEND_DRAINING || s.isEmptied(backend) || s.isAbroad(backend), !isShunned
 }
 
 func (s *step) leave() {
--- a/internal/node/routed.go
+++ b/internal/node/routed.go
@@ -69,7 +69,8 @@
 	reckon := gateway.NewLoads(n.Now(), bounds.Bounds)
 	sizes := journal.Sized(n.settings.DiskBytes)
 	return &core.Routed{Fits: sizes.Fits, HoldMost: bounds.HoldMost, ListLag: bounds.ListLag, Districts: n.seam.Districts, Quiet: bounds.Quiet, ColdBearable: reckon.ColdBearable,
-		Heat: func(span time.Duration) []*schema.KeyHeat { return n.gateway.Loads().TakeHeat(span) }}
+		Heat:   func(span time.Duration) []*schema.KeyHeat { return n.gateway.Loads().TakeHeat(span) },
+		Vitals: func() []*schema.Vital { return n.gateway.Vitals() }}
 }
 
 func (n *Node) startRouted() error {
--- /dev/null
+++ b/internal/roster/jury.go
@@ -0,0 +1,208 @@
+package roster
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"topazshed/internal/constants"
+	"topazshed/internal/image"
+	"topazshed/internal/schema"
+)
+
+type stage int
+
+const (
+	stageClear stage = iota
+	stageOut
+	stageTrial
+)
+
+type trial struct {
+	stage   stage
+	since   time.Duration
+	until   time.Duration
+	strikes int
+	goods   int
+}
+
+type vote struct {
+	at       time.Duration
+	district string
+}
+
+// Jury decides for a routed fleet which back ends are failing, by what nodes tell of their own attempts. A node that meets one seldom so gains by the others' losses.
+// It is a pure state machine of the leader; a new leader's takes over the rows that it finds.
+type Jury struct {
+	votes  map[string]map[string]vote
+	trials map[string]*trial
+}
+
+// NewJury makes one without votes.
+func NewJury() *Jury { return &Jury{votes: map[string]map[string]vote{}, trials: map[string]*trial{}} }
+
+// Report takes what a node tells of the back ends that failed it, or that served it although they are failing, since it last told.
+func (j *Jury) Report(now time.Duration, node, district string, vitals []*schema.Vital) {
+	for _, vital := range vitals {
+		id := vital.Instance
+		if !vital.Failing {
+			if t := j.trials[id]; t != nil && t.stage == stageTrial {
+				t.goods++
+			}
+			continue
+		}
+		if j.votes[id] == nil {
+			j.votes[id] = map[string]vote{}
+		}
+		j.votes[id][node] = vote{now, district}
+	}
+}
+
+// Plan gives the record that brings the rows in line with the verdicts, or nil.
+func (j *Jury) Plan(now time.Duration, view *image.View, table *image.Table) *schema.Record {
+	record := &schema.Record{Kind: schema.RecordKind_RECORD_ROWS, Reason: "failing back ends"}
+	ready := map[string][]string{}
+	for _, id := range slices.Sorted(maps.Keys(view.Nodes)) {
+		if node := view.Nodes[id]; node.State == schema.NodeState_NODE_READY {
+			ready[node.District] = append(ready[node.District], id)
+		}
+	}
+	known := map[string]bool{}
+	for _, name := range slices.Sorted(maps.Keys(view.Services)) {
+		service := view.Services[name]
+		open, failing, doubted := 0, 0, 0
+		for _, backend := range service.Backends {
+			known[backend.Instance] = true
+			if backend.State == schema.BackendState_BACKEND_READY {
+				open++
+			}
+			if backend.Failing {
+				failing++
+			}
+			if len(j.recent(now, backend.Instance, 0)) > 0 {
+				doubted++
+			}
+		}
+		needed := min(constants.JuryVotes, max(1, count(ready)/2))
+		if doubted*100 > open*constants.JuryFloor {
+			needed *= 2
+		}
+		for _, backend := range service.Backends {
+			if backend.State != schema.BackendState_BACKEND_READY || backend.Cold {
+				continue
+			}
+			t := j.step(now, backend, service.Policy.GetKeyed(), ready, needed, failing*100 < open*constants.JuryFloor)
+			isFailing := t != nil && t.stage != stageClear
+			if isFailing && !backend.Failing {
+				failing++
+			}
+			fresh := proto.Clone(backend).(*schema.Backend)
+			fresh.Failing, fresh.Sponsors = isFailing, nil
+			if isFailing && t.stage == stageTrial {
+				fresh.Sponsors = backend.Sponsors
+				if len(fresh.Sponsors) == 0 {
+					fresh.Sponsors = sponsors(backend, view, ready, t.strikes)
+				}
+			}
+			if !proto.Equal(backend, fresh) {
+				key := image.BackendKey(name, backend.Instance)
+				record.Guards = append(record.Guards, &schema.Guard{Key: key, Index: table.Get(key).GetIndex()})
+				record.Rows = append(record.Rows, image.Put(key, fresh))
+			}
+		}
+	}
+	maps.DeleteFunc(j.votes, func(id string, _ map[string]vote) bool { return !known[id] })
+	maps.DeleteFunc(j.trials, func(id string, _ *trial) bool { return !known[id] })
+	return whole(record)
+}
+
+func (j *Jury) recent(now time.Duration, id string, since time.Duration) map[string]vote {
+	votes := j.votes[id]
+	maps.DeleteFunc(votes, func(_ string, v vote) bool { return now-v.at > constants.JuryWindow || v.at < since })
+	return votes
+}
+
+// step moves one back end's case on; nil is none.
+func (j *Jury) step(now time.Duration, backend *schema.Backend, isKeyed bool, ready map[string][]string, needed int, hasRoom bool) *trial {
+	id := backend.Instance
+	t := j.trials[id]
+	if t == nil && backend.Failing {
+		t = &trial{stage: stageOut, since: now, until: now + constants.JuryOut, strikes: 1}
+		j.trials[id] = t
+	}
+	since := time.Duration(0)
+	if t != nil {
+		since = t.since
+	}
+	votes := j.recent(now, id, since)
+	out := func() {
+		if t == nil {
+			t = &trial{}
+			j.trials[id] = t
+		}
+		if t.stage == stageClear && now-t.since > constants.JuryForgiven {
+			t.strikes = 0
+		}
+		t.stage, t.since, t.goods = stageOut, now, 0
+		t.until = now + min(constants.JuryOutMost, constants.JuryOut<<min(t.strikes, 8))
+		t.strikes++
+		delete(j.votes, id)
+	}
+	clear := func() { t.stage, t.since = stageClear, now }
+	switch {
+	case t == nil || t.stage == stageClear:
+		if len(votes) >= needed && hasRoom && isSeenWidely(backend, votes, ready) {
+			out()
+		}
+	case t.stage == stageOut:
+		// What fails while it is out was sent before or for want of any other; keys that it held are elsewhere and can't be tried.
+		delete(j.votes, id)
+		if now >= t.until && isKeyed {
+			clear()
+		} else if now >= t.until {
+			t.stage, t.since, t.goods = stageTrial, now, 0
+		}
+	case len(votes) > 0:
+		out()
+	case t.goods >= constants.JuryGoods || now-t.since >= constants.JuryTrial:
+		clear()
+	}
+	return t
+}
+
+func count(ready map[string][]string) int {
+	sum := 0
+	for _, ids := range ready {
+		sum += len(ids)
+	}
+	return sum
+}
+
+// isSeenWidely tells that nodes of the back end's own district see it fail too, or those of several; one that fails the callers of one other district is avoided by those.
+func isSeenWidely(backend *schema.Backend, votes map[string]vote, ready map[string][]string) bool {
+	districts := map[string]bool{}
+	for _, v := range votes {
+		districts[v.district] = true
+	}
+	return len(districts) > 1 || districts[backend.District] || len(ready[backend.District]) == 0
+}
+
+// sponsors are the nodes that alone may try a failing back end: few of its district, others at each trial.
+func sponsors(backend *schema.Backend, view *image.View, ready map[string][]string, turn int) []string {
+	near := ready[backend.District]
+	if len(near) == 0 {
+		for _, district := range slices.Sorted(maps.Keys(ready)) {
+			if view.Districts[district].GetRegion() == view.Districts[backend.District].GetRegion() {
+				near = append(near, ready[district]...)
+			}
+		}
+	}
+	var chosen []string
+	for i := range min(len(near), constants.JurySponsors) {
+		chosen = append(chosen, near[(turn*constants.JurySponsors+i)%len(near)])
+	}
+	slices.Sort(chosen)
+	return slices.Compact(chosen)
+}
--- /dev/null
+++ b/internal/roster/jury_test.go
@@ -0,0 +1,173 @@
+package roster
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"topazshed/internal/constants"
+	"topazshed/internal/image"
+	"topazshed/internal/schema"
+)
+
+// juried is a fleet of six nodes in kol-a and kol-b with back ends i-0 to i-9 in kol-a; copper is free, zinc is divided by key.
+type juried struct {
+	t     *testing.T
+	table *image.Table
+	jury  *Jury
+	now   time.Duration
+}
+
+func newJuried(t *testing.T, service string) *juried {
+	j := &juried{t: t, table: image.NewTable(), jury: NewJury(), now: time.Hour}
+	rows := []*schema.Row{image.Put(image.PolicyKey(service), &schema.ServicePolicy{Service: service, Keyed: service == "zinc"})}
+	for i, name := range []string{"kol-a", "kol-b"} {
+		rows = append(rows, image.Put(image.DistrictKey(name), &schema.District{Name: name, Region: "kol", Residue: uint32(2 * i)}))
+	}
+	for i := range 6 {
+		id := fmt.Sprint("n", i)
+		rows = append(rows, image.Put(image.NodeKey(id), &schema.Node{Id: id, District: []string{"kol-a", "kol-b"}[i/3], Region: "kol", State: schema.NodeState_NODE_READY}))
+	}
+	for i := range 10 {
+		id := fmt.Sprint("i-", i)
+		rows = append(rows, image.Put(image.BackendKey(service, id), &schema.Backend{Service: service, Instance: id, Address: id, District: "kol-a", State: schema.BackendState_BACKEND_READY}))
+	}
+	j.apply(rows)
+	return j
+}
+
+func (j *juried) apply(rows []*schema.Row) {
+	j.t.Helper()
+	if _, err := j.table.Apply(j.table.Version()+1, &schema.Record{Kind: schema.RecordKind_RECORD_ROWS, Rows: rows}, nil); err != nil {
+		j.t.Fatal(err)
+	}
+}
+
+func (j *juried) plan() {
+	if record := j.jury.Plan(j.now, image.Compile(j.table), j.table); record != nil {
+		if _, err := j.table.Apply(j.table.Version()+1, record, nil); err != nil {
+			j.t.Fatal(err)
+		}
+	}
+}
+
+// failing tells the failing back ends; those on trial with their sponsors.
+func (j *juried) failing() string {
+	var seen []string
+	for _, service := range image.Compile(j.table).Services {
+		for _, b := range service.Backends {
+			switch {
+			case b.Failing && len(b.Sponsors) > 0:
+				seen = append(seen, b.Instance+"("+strings.Join(b.Sponsors, ",")+")")
+			case b.Failing:
+				seen = append(seen, b.Instance)
+			}
+		}
+	}
+	slices.Sort(seen)
+	return strings.Join(seen, " ")
+}
+
+func TestJury(t *testing.T) {
+	// A step is NODES:BACKENDS for votes, NODES+BACKENDS for trials that went well, or a time to wait; a plan follows each.
+	for _, c := range []struct {
+		name, service, steps, want string
+	}{
+		{"nobody complains", "copper", "1s", ""},
+		{"one node's word is not enough", "copper", "0:1", ""},
+		{"one node's word again and again is not", "copper", "0:1 0:1 0:1 0:1", ""},
+		{"three nodes' words are", "copper", "0:1 1:1 3:1", "i-1"},
+		{"words that are old are not", "copper", "0:1 1:1 2100ms 3:1", ""},
+		{"one that fails only another district's callers stays", "copper", "345:1", ""},
+		{"one that fails several districts' callers is out", "zinc", "235:1", "i-1"},
+		{"no more than the rest can bear", "copper", "012:1 012:2 012:3 012:4 012:5", "i-1 i-2 i-3"},
+		{"a trouble of all ejects nobody so easily", "copper", "0:1234567 1:1234567 2:1234567", ""},
+		{"it stays out for a while", "copper", "012:1 2400ms", "i-1"},
+		{"then few may try it", "copper", "012:1 2500ms", "i-1(n0,n2)"},
+		{"words of before do not count on trial", "copper", "012:1 2400ms 012:1 100ms", "i-1(n0,n2)"},
+		{"trials that go well clear it", "copper", "012:1 2500ms 0+1 2+1", ""},
+		{"a trial that fails does not", "copper", "012:1 2500ms 0+1 2:1", "i-1"},
+		{"and it is out for twice as long", "copper", "012:1 2500ms 2:1 4900ms", "i-1"},
+		{"and tried by others", "copper", "012:1 2500ms 2:1 5s", "i-1(n1,n2)"},
+		{"nobody tried it", "copper", "012:1 2500ms 3s", ""},
+		{"keys can't be tried", "zinc", "012:1 2400ms", "i-1"},
+		{"a holder of keys is cleared at once", "zinc", "012:1 2500ms", ""},
+		{"one that goes down and up is out longer each time", "zinc", "012:1 2500ms 012:1 4900ms", "i-1"},
+		{"the longest time is bounded", "zinc", "012:1 20s 012:1 20s 012:1 20s 012:1 20s 012:1 20s 012:1 20s", ""},
+		{"long soundness is rewarded", "zinc", "012:1 2500ms 012:1 5s 31s 012:1 2500ms", ""},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			j := newJuried(t, c.service)
+			each := func(nodes, backends string, isFailing bool) {
+				for _, n := range nodes {
+					var vitals []*schema.Vital
+					for _, b := range backends {
+						vitals = append(vitals, &schema.Vital{Instance: "i-" + string(b), Failing: isFailing})
+					}
+					j.jury.Report(j.now, "n"+string(n), map[bool]string{true: "kol-a", false: "kol-b"}[n < '3'], vitals)
+				}
+			}
+			for _, step := range strings.Fields(c.steps) {
+				if wait, err := time.ParseDuration(step); err == nil {
+					for end := j.now + wait; j.now < end; {
+						j.now += min(200*time.Millisecond, end-j.now)
+						j.plan()
+					}
+					continue
+				}
+				if nodes, backends, isTrial := strings.Cut(step, "+"); isTrial {
+					each(nodes, backends, false)
+				} else {
+					nodes, backends, _ := strings.Cut(step, ":")
+					each(nodes, backends, true)
+				}
+				j.plan()
+			}
+			if got := j.failing(); got != c.want {
+				t.Fatalf("failing %q, want %q", got, c.want)
+			}
+			if constants.JuryOut != 2500*time.Millisecond || constants.JuryWindow != 2*time.Second || constants.JuryVotes != 3 {
+				t.Fatal("the steps are written for other constants")
+			}
+		})
+	}
+}
+
+func TestANewLeadersJuryTakesOver(t *testing.T) {
+	j := newJuried(t, "copper")
+	for n := range 3 {
+		j.jury.Report(j.now, fmt.Sprint("n", n), "kol-a", []*schema.Vital{{Instance: "i-1", Failing: true}})
+	}
+	j.plan()
+	j.jury = NewJury()
+	for range 12 {
+		j.plan()
+		if got := j.failing(); got != "i-1" {
+			t.Fatalf("failing %q", got)
+		}
+		j.now += 200 * time.Millisecond
+	}
+	j.now += 200 * time.Millisecond
+	if j.plan(); j.failing() == "i-1" {
+		t.Fatal("it is out for ever")
+	}
+}
+
+func TestWatchKeepsVerdicts(t *testing.T) {
+	w := newWatched(t, 3)
+	w.plan(whole1(item("i-1")))
+	b := w.backend("i-1")
+	b.Failing, b.Sponsors = true, []string{"node-00"}
+	w.put(image.Put(image.BackendKey("copper", "i-1"), b))
+	if record := w.plan(whole1(item("i-1"))); record != nil {
+		t.Fatalf("a read of the list changes %v", record)
+	}
+	moved := item("i-1")
+	moved.ColdLeft = 5 * time.Second
+	w.plan(whole1(moved))
+	if b := w.backend("i-1"); b.Failing || !b.Cold || len(b.Sponsors) == 0 {
+		t.Fatalf("one that turned cold is %v", b)
+	}
+}
--- a/internal/roster/watch.go
+++ b/internal/roster/watch.go
@@ -91,16 +91,20 @@
 		if item.IsDraining || old.GetState() == schema.BackendState_BACKEND_DRAINING && old.GetAddress() == item.Address {
 			fresh.State = schema.BackendState_BACKEND_DRAINING
 		}
+		fresh.Failing = old.GetFailing() && old.GetAddress() == item.Address
 		if item.ColdLeft > 0 {
 			w.coldUntil[name] = max(w.coldUntil[name], f.Listing.BegunAt+item.ColdLeft+constants.ColdAfter)
 		}
 		if fresh.Cold = f.Now < w.coldUntil[name]; fresh.Cold {
 			fresh.Sponsors = old.GetSponsors()
-			if !old.GetCold() {
+			if fresh.Failing = false; !old.GetCold() {
 				fresh.Sponsors = w.sponsors(f, fresh, service)
 			}
 		} else {
 			delete(w.coldUntil, name)
+			if fresh.Failing {
+				fresh.Sponsors = old.Sponsors
+			}
 		}
 		if !proto.Equal(old, fresh) {
 			put(image.BackendKey(item.Service, item.Instance), fresh)
