A failing holder of keys stays out for 10 s, so that its keys move once

Cause: a verdict on a holder ended after 2.5 s without a trial (there is none without keys), its keys came back and moved off again.

Ruled out: releasing all of its keys in one part (every key would wait for the slowest hanging request; parts wait for their own).

Change: a first verdict on a holder lasts 10 s, as long as one that is out of reach is shunned.

--- a/internal/constants/constants.go
+++ b/internal/constants/constants.go
@@ -294,6 +294,8 @@
 	JuryWindow = 2 * time.Second
 	// JuryOut (time) of a first verdict, doubled at each further one: several beats, so that one that is well again is soon back.
 	JuryOut = 2500 * time.Millisecond
+	// JuryOutHolder (time) of a first verdict on a holder of keys: its keys went elsewhere, and each return moves them twice more if it is still ill.
+	JuryOutHolder = 10 * time.Second
 	// JuryOutMost (time) of a verdict.
 	JuryOutMost = 20 * time.Second
 	// JuryTrial (time) after which a failing back end that nobody tried is cleared.
--- a/internal/roster/jury.go
+++ b/internal/roster/jury.go
@@ -146,7 +146,11 @@
 			t.strikes = 0
 		}
 		t.stage, t.since, t.goods = stageOut, now, 0
-		t.until = now + min(constants.JuryOutMost, constants.JuryOut<<min(t.strikes, 8))
+		first := constants.JuryOut
+		if isKeyed {
+			first = constants.JuryOutHolder
+		}
+		t.until = now + min(constants.JuryOutMost, first<<min(t.strikes, 8))
 		t.strikes++
 		delete(j.votes, id)
 	}
