--- a/internal/gateway/course.go
+++ b/internal/gateway/course.go
@@ -65,8 +65,6 @@
 type Event struct {
 	Kind   EventKind
 	Reason string
-	// IsOther says that the back end is another one than expected, or does not hold the key.
-	IsOther bool
 	// IsForgotten says that the connection broke only because its back end had forgotten it, so that the back end may be asked again.
 	IsForgotten bool
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -435,7 +435,7 @@
 				g.loads.Fail(g.options.Now(), instance)
 			}
 		}
-		return answer, isClean, Event{Kind: EventNotRun, Reason: fmt.Sprintf("status %d, not run", answer.Status), IsOther: answer.Status == http.StatusMisdirectedRequest}
+		return answer, isClean, Event{Kind: EventNotRun, Reason: fmt.Sprintf("status %d, not run", answer.Status)}
 	case answer.Status >= 200 && answer.Status < 300:
 		if answer.Header.Get(g.options.Names.Seal) == "" || answer.Header.Get("Content-Encoding") != "" {
 			return broken("the answer has no seal")
--- a/internal/gateway/limits_test.go
+++ b/internal/gateway/limits_test.go
@@ -44,7 +44,7 @@
 				}
 			case OrderSend:
 				sent = append(sent, order.Backend.Instance)
-				event = Event{Kind: kinds[1+random.IntN(len(kinds)-1)], IsOther: random.IntN(3) == 0}
+				event = Event{Kind: kinds[1+random.IntN(len(kinds)-1)]}
 				if event.Kind != EventNotRun {
 					mayRun++
 				}
