Changes of standing tell evidence, leader and time; a leader's word of each machine

Cause: an operator of a routed fleet could not learn why a standing is what it is: the row holds only the last rule's name, the log record named no evidence, no leader and no time, and nothing kept former changes.

Change: a record of standing carries evidence (districts emptied with their reason, dark ones, ready back ends left; at most 4 districts named), the leader and its time of day. Members of the log keep the newest 32 changes as they apply them, also those read again at a start; the leader answers a status query with them and with what it heard last from each node and whether the configuration is in force there. The fields stay in the log and in that answer; rows and beats are as before. Time of day comes in as a value (core.Options.Epoch).

Ruled out: time and leader in the standing row itself, which every node would be sent.

Tests: core changes_test (told from the log, again after a start, bounded, where in force), standing evidence_test; they fail to compile before.

--- a/internal/constants/constants.go
+++ b/internal/constants/constants.go
@@ -476,4 +476,8 @@
 	GarbagePercent = 40
 	// MemoryShare (parts) of a machine's memory the runtime may take before it collects harder.
 	MemoryShare = 0.6
+	// ChangesKept (changes) of standing are remembered for operators: an afternoon of troubles in a few KiB.
+	ChangesKept = 32
+	// EvidenceMost (districts) are named in the evidence of one change; of more only the count is told, so that a record stays small.
+	EvidenceMost = 4
 )
--- /dev/null
+++ b/internal/core/changes.go
@@ -0,0 +1,77 @@
+package core
+
+import (
+	"maps"
+	"slices"
+	"strings"
+
+	"topazshed/internal/constants"
+	"topazshed/internal/image"
+	"topazshed/internal/schema"
+)
+
+func isStanding(key string) bool {
+	if strings.HasPrefix(key, "standing/") {
+		return true
+	}
+	parts := strings.SplitN(key, "/", 4)
+	return len(parts) == 4 && parts[0] == "s" && parts[2] == "standing"
+}
+
+// numbersOf are the failover numbers of the standings that a record would change.
+func (c *Core) numbersOf(record *schema.Record) map[string]uint64 {
+	var numbers map[string]uint64
+	for _, row := range record.GetRows() {
+		if isStanding(row.Key) {
+			if numbers == nil {
+				numbers = map[string]uint64{}
+			}
+			numbers[row.Key] = image.Decode[schema.Standing](c.table.Get(row.Key)).GetNumber()
+		}
+	}
+	return numbers
+}
+
+// noteChanges remembers the newest changes of standing as they are applied from the log.
+func (c *Core) noteChanges(item *schema.LogItem, before map[string]uint64, rows []*schema.Row) {
+	if len(before) == 0 {
+		return
+	}
+	for _, row := range rows {
+		from, isNoted := before[row.Key]
+		fresh := image.Decode[schema.Standing](row)
+		if !isNoted || fresh == nil || fresh.Number == from {
+			continue
+		}
+		c.changes = append(c.changes, &schema.StandingChange{Service: fresh.Service, Path: fresh.Path, Region: fresh.Region, From: from, To: fresh.Number, Cause: fresh.Reason,
+			Evidence: item.Record.Evidence, Index: item.Index, Term: item.Term, Leader: item.Record.Leader, AtMs: item.Record.AtMs})
+	}
+	if extra := len(c.changes) - constants.ChangesKept; extra > 0 {
+		c.changes = slices.Clone(c.changes[extra:])
+	}
+}
+
+// sign tells in a record who makes it and when, by the time of day at this machine.
+func (c *Core) sign(record *schema.Record) {
+	record.Leader = c.self.Id
+	if !c.options.Epoch.IsZero() {
+		record.AtMs = c.options.Epoch.Add(c.now).UnixMilli()
+	}
+}
+
+// reports are what this leader heard last from each node; a configuration is in force where its row's index was reached.
+func (c *Core) reports() []*schema.NodeReport {
+	head := c.table.Get(image.HeadKey).GetIndex()
+	var reports []*schema.NodeReport
+	for _, id := range slices.Sorted(maps.Keys(c.view.Nodes)) {
+		report := &schema.NodeReport{Id: id, Silent: true}
+		if id == c.self.Id {
+			report.Index, report.Silent = c.table.Version(), false
+		} else if g := c.nodes[id]; g != nil && g.heard > 0 {
+			report.Index, report.HeardMs, report.Silent = g.version, uint32((c.now - g.heard).Milliseconds()), false
+		}
+		report.InForce = head > 0 && report.Index >= head
+		reports = append(reports, report)
+	}
+	return reports
+}
--- /dev/null
+++ b/internal/core/changes_test.go
@@ -0,0 +1,155 @@
+package core
+
+import (
+	"fmt"
+	"io"
+	"log/slog"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"topazshed/internal/constants"
+	"topazshed/internal/image"
+	"topazshed/internal/schema"
+)
+
+type solo struct {
+	core    *Core
+	now     time.Duration
+	epoch   time.Time
+	items   []*schema.LogItem
+	hard    *schema.HardState
+	outcome *schema.OperatorOutcome
+}
+
+func (s *solo) options() Options {
+	self := &schema.Node{Id: "a", Address: "a", Proxy: "a", Door: "a", District: "mu-a", Region: "mu", Disk: true, Incarnation: 1, State: schema.NodeState_NODE_READY}
+	return Options{Self: self, Seeds: []string{"a"}, Draw: func(int64) int64 { return 0 }, Log: slog.New(slog.NewTextHandler(io.Discard, nil)), Epoch: s.epoch,
+		Routed: &Routed{HoldMost: 10 * time.Second, ColdBearable: func(*schema.ServicePolicy) int { return 1 }}}
+}
+
+// run lets time pass; the machines whose districts are named report in the meantime.
+func (s *solo) run(span time.Duration, districts ...string) {
+	for until := s.now + span; s.now < until; s.now += 20 * time.Millisecond {
+		s.core.Tick(s.now)
+		if s.core.IsLeading() {
+			for _, district := range districts {
+				s.core.noteBeat(&schema.Beat{Version: s.core.table.Version(), Node: &schema.Node{Id: "of-" + district, Address: district, Proxy: district, Door: district, District: district, Region: "mu", Incarnation: 1, State: schema.NodeState_NODE_READY}})
+			}
+		}
+		for range 8 {
+			effects := s.core.Take()
+			if !effects.IsWork {
+				break
+			}
+			if effects.Hard != nil {
+				s.hard = effects.Hard
+			}
+			for _, outcome := range effects.Outcomes {
+				s.outcome = outcome.Outcome
+			}
+			s.items = append(s.items, effects.Quorum.Items...)
+			s.core.Synced(s.now, effects)
+		}
+	}
+}
+
+func (s *solo) ask(query *schema.OperatorQuery, districts ...string) *schema.OperatorOutcome {
+	s.outcome = nil
+	s.core.Operate(s.now, 7, query)
+	s.run(400*time.Millisecond, districts...)
+	return s.outcome
+}
+
+func TestChangesOfStandingAreToldFromTheLog(t *testing.T) {
+	s := &solo{now: time.Hour, epoch: time.Date(2026, 5, 4, 12, 0, 0, 0, time.UTC)}
+	s.core = New(s.now, s.options())
+	s.run(5*time.Second, "mu-a", "mu-b")
+	begun := len(s.core.changes)
+	emptied := s.ask(&schema.OperatorQuery{Kind: schema.OperatorKind_OPERATOR_EMPTY, District: "mu-b", Reason: "new racks"}, "mu-a", "mu-b")
+	if emptied.GetDecline() != schema.DeclineKind_DECLINE_NONE {
+		t.Fatal(emptied)
+	}
+	at := s.epoch.Add(s.now).UnixMilli()
+	status := s.ask(&schema.OperatorQuery{Kind: schema.OperatorKind_OPERATOR_STATUS}, "mu-a", "mu-b")
+	if len(status.Changes) != begun+1 {
+		t.Fatalf("%d changes, had %d", len(status.Changes), begun)
+	}
+	last := status.Changes[begun]
+	row := image.Decode[schema.Standing](s.core.table.Get(image.DefaultKey("mu")))
+	if last.Region != "mu" || last.From >= last.To || last.To != row.Number || last.Cause != row.Reason || last.Evidence != "mu-b is emptied (new racks)" || last.Leader != "a" || last.Term == 0 ||
+		last.AtMs > at || last.AtMs < at-1000 {
+		t.Errorf("%v, row %v, at %d", last, row, at)
+	}
+	reports := map[string]*schema.NodeReport{}
+	for _, report := range status.Reports {
+		reports[report.Id] = report
+	}
+	if r := reports["of-mu-b"]; r == nil || r.Silent || r.HeardMs > 100 || r.Index == 0 || r.InForce {
+		t.Errorf("%v: no configuration was put", r)
+	}
+
+	// The same after a start from the disk: the log is read again.
+	restarted := &solo{now: time.Hour, epoch: s.epoch}
+	options := restarted.options()
+	options.Restart, options.System, options.Hard = true, s.hard.System, proto.Clone(s.hard).(*schema.HardState)
+	for _, item := range s.items {
+		options.Items = append(options.Items, proto.Clone(item).(*schema.LogItem))
+	}
+	restarted.core = New(restarted.now, options)
+	restarted.run(3*time.Second, "mu-a", "mu-b")
+	again := restarted.ask(&schema.OperatorQuery{Kind: schema.OperatorKind_OPERATOR_STATUS}, "mu-a", "mu-b")
+	if len(again.GetChanges()) < begun+1 || !proto.Equal(again.Changes[begun], last) {
+		t.Errorf("after a start %v, want %v", again.GetChanges(), last)
+	}
+}
+
+func TestReportsTellWhereAConfigurationIsInForce(t *testing.T) {
+	s := &solo{now: time.Hour}
+	s.core = New(s.now, s.options())
+	s.run(5*time.Second, "mu-a", "mu-b")
+	config := &schema.RouteConfig{Version: 1, Document: []byte("{}")}
+	if outcome := s.ask(&schema.OperatorQuery{Kind: schema.OperatorKind_OPERATOR_PUT_ROUTES, Routes: config}, "mu-a"); outcome.GetDecline() != schema.DeclineKind_DECLINE_NONE {
+		t.Fatal(outcome)
+	}
+	for _, report := range s.ask(&schema.OperatorQuery{Kind: schema.OperatorKind_OPERATOR_STATUS}, "mu-a").Reports {
+		if want := report.Id != "of-mu-b"; report.InForce != want {
+			t.Errorf("%v, want in force %v", report, want)
+		}
+	}
+}
+
+func TestChangesAreBounded(t *testing.T) {
+	s := &solo{now: time.Hour}
+	s.core = New(s.now, s.options())
+	for i := range uint64(3 * constants.ChangesKept) {
+		record := &schema.Record{Kind: schema.RecordKind_RECORD_ROWS, Rows: []*schema.Row{image.Put(image.DefaultKey("mu"), &schema.Standing{Region: "mu", Number: i + 1})}}
+		before := s.core.numbersOf(record)
+		rows, err := s.core.table.Apply(i+1, record, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		s.core.noteChanges(&schema.LogItem{Index: i + 1, Record: record}, before, rows)
+	}
+	if len(s.core.changes) != constants.ChangesKept || s.core.changes[0].To != 2*constants.ChangesKept+1 {
+		t.Errorf("%d changes from %v", len(s.core.changes), s.core.changes[0])
+	}
+	if cap(s.core.changes) > 4*constants.ChangesKept {
+		t.Errorf("room for %d", cap(s.core.changes))
+	}
+}
+
+func TestOnlyStandingsAreNoted(t *testing.T) {
+	for key, want := range map[string]bool{
+		image.DefaultKey("mu"): true, image.StandingKey("copper", "", "mu"): true, image.StandingKey("copper", "/a/b", "mu"): true,
+		image.EntryKey("copper", "/standing/x"): false, image.BackendKey("copper", "c-1"): false, image.DistrictKey("standing"): false, image.RouteKey("one.example", "/standing/"): false,
+	} {
+		if got := isStanding(key); got != want {
+			t.Errorf("%s: %v, want %v", key, got, want)
+		}
+	}
+	if numbers := (&Core{table: image.NewTable()}).numbersOf(&schema.Record{}); numbers != nil {
+		t.Error(fmt.Sprint(numbers))
+	}
+}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -35,6 +35,8 @@
 	Rejoin bool
 	// Routed says that this fleet carries routes: attempt ids are never sent twice, so that claims and fences are not needed.
 	Routed *Routed
+	// Epoch is the time of day at which this node's clock would have stood at 0; records of standing tell by it when they were made.
+	Epoch time.Time
 }
 
 // Send is a frame for an address.
@@ -186,6 +188,7 @@
 	addresses  map[string]string
 	toldAt     time.Duration
 	routed     *routedState
+	changes    []*schema.StandingChange
 }
 
 // New restores a node from its journal, or makes an empty one.
@@ -940,6 +943,7 @@
 func (c *Core) apply() {
 	var changed []*schema.Row
 	for _, item := range c.quorum.Committed() {
+		before := c.numbersOf(item.Record)
 		rows, err := c.table.Apply(item.Index, item.Record, standing.Check)
 		if err != nil {
 			c.verdicts[item.Index] = err.Error()
@@ -949,6 +953,7 @@
 			continue
 		}
 		changed = append(changed, rows...)
+		c.noteChanges(item, before, rows)
 		if item.Record.Kind == schema.RecordKind_RECORD_MEMBERS {
 			c.log.Info("members", "voters", len(item.Record.Members.Voters), "learners", len(item.Record.Members.Learners), "reason", item.Record.Reason)
 		}
--- a/internal/core/lead.go
+++ b/internal/core/lead.go
@@ -56,6 +56,7 @@
 	c.planKeepers()
 	c.planSlots()
 	for _, record := range standing.Plan(c.view, c.table, c.released) {
+		c.sign(record)
 		c.propose(record)
 	}
 }
@@ -628,7 +629,8 @@
 	document := image.Decode[schema.CatalogDocument](c.table.Get(image.DocumentKey))
 	outcome := &schema.OperatorOutcome{Version: document.GetVersion(), Document: document.GetDocument(), Index: c.table.Version()}
 	if w.query.Kind == schema.OperatorKind_OPERATOR_STATUS {
-		outcome = &schema.OperatorOutcome{Version: document.GetVersion(), Index: c.operated(), Unconfirmed: c.unconfirmed(c.operated())}
+		outcome = &schema.OperatorOutcome{Version: document.GetVersion(), Index: c.operated(), Unconfirmed: c.unconfirmed(c.operated()),
+			Reports: c.reports(), Changes: c.changes}
 	}
 	head := image.Decode[schema.CatalogHead](c.table.Get(image.HeadKey))
 	if w.query.Kind == schema.OperatorKind_OPERATOR_ASK && head.GetOperatorKey() != w.query.Key {
--- a/internal/core/routed.go
+++ b/internal/core/routed.go
@@ -173,8 +173,9 @@
 		c.log.Info("back ends failing or well again", "rows", len(record.Rows))
 	}
 	for _, record := range standing.PlanPlaces(c.view, c.table) {
+		c.sign(record)
 		if c.propose(record) {
-			c.log.Info("standing", "change", record.Reason)
+			c.log.Info("standing", "change", record.Reason, "evidence", record.Evidence)
 		}
 	}
 	effects := r.granter.Step(keys.Facts{Now: c.now, View: c.view, Table: c.table, IsLeading: true, ElectedAt: c.electedAt, LeaseAt: c.quorum.Contact(),
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -122,7 +122,7 @@
 func (n *Node) start() error {
 	n.self = &schema.Node{Id: newID(), Address: n.settings.PeerShown, Proxy: n.settings.ProxyShow, Door: n.settings.DoorShown, District: n.settings.District,
 		Region: n.settings.Region, Disk: n.settings.Data != "", Incarnation: uint64(time.Now().UnixMilli()), State: schema.NodeState_NODE_READY}
-	options := core.Options{Self: n.self, Seeds: n.settings.Seeds, Draw: draw, Log: n.log.With("part", "core"), Rejoin: n.settings.Rejoin}
+	options := core.Options{Self: n.self, Seeds: n.settings.Seeds, Draw: draw, Log: n.log.With("part", "core"), Rejoin: n.settings.Rejoin, Epoch: n.begun.Add(-time.Hour)}
 	if n.seam != nil {
 		options.Routed = n.routed()
 	}
--- /dev/null
+++ b/internal/standing/evidence_test.go
@@ -0,0 +1,72 @@
+package standing
+
+import (
+	"strings"
+	"testing"
+
+	"topazshed/internal/image"
+	"topazshed/internal/schema"
+)
+
+func TestEachChangeTellsItsEvidence(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		happen func(a *atlas)
+		want   map[string]string
+	}{
+		{"a district is emptied", func(a *atlas) { a.empty("kol-a", true) }, map[string]string{" in kol": "kol-a is emptied ("}},
+		{"a district's machines are lost", func(a *atlas) { a.node("tor-b", schema.NodeState_NODE_LOST) }, map[string]string{" in tor": "tor-b is dark: its machines, 1, are lost"}},
+		{"a region is lost whole", func(a *atlas) { a.node("hal-a", schema.NodeState_NODE_LOST) }, map[string]string{" in hal": "hal-a is dark"}},
+		{"a service's back ends drain", func(a *atlas) { a.backend("copper", "hal-a", schema.BackendState_BACKEND_DRAINING) },
+			map[string]string{"copper in hal": "no district of hal is emptied or dark; copper has 0 ready back ends in the others"}},
+		{"nothing happens", func(*atlas) {}, nil},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			a := newAtlas(t)
+			c.happen(a)
+			met := map[string]bool{}
+			for range 20 {
+				records := PlanPlaces(a.view(), a.table)
+				if len(records) == 0 {
+					break
+				}
+				for _, record := range records {
+					if strings.HasPrefix(record.Reason, "standing of ") {
+						isExpected := false
+						for of, want := range c.want {
+							if strings.Contains(record.Reason, of) {
+								isExpected, met[of] = true, true
+								if !strings.Contains(record.Evidence, want) {
+									t.Errorf("%s: %q, want %q", record.Reason, record.Evidence, want)
+								}
+							}
+						}
+						if !isExpected {
+							t.Errorf("%s: %q was not expected", record.Reason, record.Evidence)
+						}
+					}
+					if _, err := a.table.Apply(a.table.Version()+1, record, Check); err != nil {
+						t.Fatal(err)
+					}
+				}
+			}
+			if len(met) != len(c.want) {
+				t.Errorf("met %v, want %v", met, c.want)
+			}
+		})
+	}
+}
+
+func TestEvidenceIsBounded(t *testing.T) {
+	view := image.NewView()
+	var all []string
+	for _, letter := range strings.Split("abcdefghijkl", "") {
+		name := "zone-" + letter
+		view.Districts[name] = &schema.District{Name: name, Region: "zone", Emptied: true, Reason: "operator"}
+		all = append(all, name)
+	}
+	told := evidence(view, nil, "zone", all, nil)
+	if !strings.Contains(told, "zone-d is emptied") || strings.Contains(told, "zone-e") || !strings.HasSuffix(told, "8 more districts are emptied or dark") {
+		t.Error(told)
+	}
+}
--- a/internal/standing/place.go
+++ b/internal/standing/place.go
@@ -189,15 +189,16 @@
 		}
 		return view.Regions[best].Residue, "no open district with back ends; work goes to " + best, true
 	}
-	move := func(key string, row *schema.Standing, was uint64, to uint32, reason string) {
+	move := func(key string, row *schema.Standing, was uint64, to uint32, reason string, of *image.Service) {
 		row.Number, row.Reason = nextOf(was, to), reason
 		records = append(records, &schema.Record{Kind: schema.RecordKind_RECORD_ROWS, Reason: "standing of " + row.Service + " in " + row.Region,
-			Guards: []*schema.Guard{{Key: key, Index: table.Get(key).GetIndex()}}, Rows: []*schema.Row{image.Put(key, row)}})
+			Evidence: evidence(view, of, row.Region, all[row.Region], open[row.Region]),
+			Guards:   []*schema.Guard{{Key: key, Index: table.Get(key).GetIndex()}}, Rows: []*schema.Row{image.Put(key, row)}})
 	}
 	for _, region := range regions {
 		to, reason, isThere := target(nil, region)
 		if row := view.Defaults[region]; isThere && (row == nil || row.Number%constants.GroupIncrement != uint64(to)) {
-			move(image.DefaultKey(region), &schema.Standing{Region: region}, row.GetNumber(), to, reason)
+			move(image.DefaultKey(region), &schema.Standing{Region: region}, row.GetNumber(), to, reason, nil)
 		}
 		for _, name := range sortedNames(view.Services) {
 			service := view.Services[name]
@@ -211,7 +212,7 @@
 			if defaultTo, _, isDefault := target(nil, region); !isOwnThere && isDefault && defaultTo == to {
 				continue
 			}
-			move(image.StandingKey(name, "", region), &schema.Standing{Service: name, Region: region}, row.Number, to, reason)
+			move(image.StandingKey(name, "", region), &schema.Standing{Service: name, Region: region}, row.Number, to, reason, service)
 		}
 	}
 	if len(groups.Rows) > 0 {
