The product's own form of the routed seam: serve with routes in its settings

Cause: routes, the list and key calls came in only through platform/, so that no fleet could carry routes over the product's own interface.

Change: settings.Routes (or -routes) makes a fleet of routes with checked bounds; node.NativeSeam speaks for it: the door takes PUT/GET /v1/configuration with a document of routes, services and limits (easyjson; every fault of form named with path and remedy, those of sense by the routes.Check that the platform's use), districts emptied and restored, /v1/standings and /v1/standings/REGION with the changes, /v1/status, /v1/match and /v1/ready; the list's pages gain slots and cold_left_ms; POST /keys/grant and /keys/release; headers are DefaultNames. The machine underneath is the same. A put is version base+1, and the same document on the same base again is taken once, so routed fleets keep no operator keys.

Ruled out: fields beside in roster.Item, whose tests build it by position: the routed list has an item of its own around it.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -16,7 +16,7 @@
 
 	"topazshed/internal/constants"
 	"topazshed/internal/core"
-	"topazshed/internal/proxy"
+	"topazshed/internal/routes"
 	"topazshed/internal/schema"
 	"topazshed/internal/standing"
 )
@@ -31,6 +31,10 @@
 	Keeper  func() (number uint64, isMember, isReady bool, claims int)
 	Disk    func() Disk
 	Match   http.Handler
+	// Resting are the back ends that this node sends nothing to for a moment, since they failed it; nil if it does not know.
+	Resting func() []string
+	// Routed makes this the door of a fleet that carries routes.
+	Routed *Routed
 }
 
 // Disk is the state of a node's data folder.
@@ -80,6 +84,10 @@
 	Region   string `json:"region"`
 	Disk     bool   `json:"disk"`
 	State    string `json:"state"`
+	// Index, HeardMs and InForce are the leader's word: the image that the node had, how long ago it told, and whether the newest configuration is in force there. HeardMs is -1 if the leader has not heard from it.
+	Index   uint64 `json:"index,omitempty"`
+	HeardMs int64  `json:"heard_ms,omitempty"`
+	InForce bool   `json:"in_force,omitempty"`
 }
 
 // DistrictStatus is a district as this node knows it.
@@ -128,6 +136,11 @@
 	Entries       []string          `json:"entries"`
 	Backends      []BackendStatus   `json:"backends"`
 	Unconfirmed   []string          `json:"unconfirmed,omitempty"`
+	// LeaderSilent tells why the leader's part is missing: the changes, and what each machine has.
+	LeaderSilent string        `json:"leader_silent,omitempty"`
+	Changes      []Change      `json:"changes,omitempty"`
+	Resting      []string      `json:"resting,omitempty"`
+	Routed       *RoutedStatus `json:"routed,omitempty"`
 }
 
 // Door serves directory and operators.
@@ -136,14 +149,31 @@
 // New makes the door's handler.
 func New(options Options) http.Handler {
 	d := &Door{options}
-	router := chi.NewRouter()
-	router.Method(http.MethodGet, "/v1/match", options.Match)
-	router.Get("/v1/status", d.status)
+	router := d.insight()
+	if options.Routed != nil {
+		router.Get("/v1/match", d.match)
+		router.Get("/v1/ready", d.ready)
+	} else {
+		router.Method(http.MethodGet, "/v1/match", options.Match)
+	}
 	router.Get("/v1/configuration", d.show)
 	router.Put("/v1/configuration", d.put)
 	router.Get("/v1/configuration/outcome", d.ask)
 	router.Post("/v1/districts/{district}/empty", d.district(schema.OperatorKind_OPERATOR_EMPTY))
 	router.Post("/v1/districts/{district}/restore", d.district(schema.OperatorKind_OPERATOR_RESTORE))
+	return router
+}
+
+// NewInsight makes the part of the door that only reads and asks no operator's leave: status and standings.
+func NewInsight(options Options) http.Handler { return (&Door{options}).insight() }
+
+func (d *Door) insight() *chi.Mux {
+	router := chi.NewRouter()
+	router.Get("/v1/status", d.status)
+	if d.options.Routed != nil {
+		router.Get("/v1/standings", d.standings)
+		router.Get("/v1/standings/{region}", d.standing)
+	}
 	router.NotFound(func(w http.ResponseWriter, r *http.Request) {
 		write(w, http.StatusNotFound, Reply{Kind: "unknown", Message: "no such call; see docs/operators.md for the door's calls"})
 	})
@@ -175,32 +205,49 @@
 		return nil
 	}
 	if outcome.Decline != schema.DeclineKind_DECLINE_NONE {
-		reply := Reply{Version: outcome.Version, Message: outcome.Message, Kind: strings.ToLower(strings.TrimPrefix(outcome.Decline.String(), "DECLINE_"))}
-		for _, fault := range outcome.Faults {
-			reply.Faults = append(reply.Faults, Fault{fault.Path, fault.Message})
-		}
-		write(w, statuses[outcome.Decline], reply)
+		decline(w, outcome)
 		return nil
 	}
 	return outcome
 }
 
+func decline(w http.ResponseWriter, outcome *schema.OperatorOutcome) {
+	reply := Reply{Version: outcome.Version, Message: outcome.Message, Kind: strings.ToLower(strings.TrimPrefix(outcome.Decline.String(), "DECLINE_"))}
+	for _, fault := range outcome.Faults {
+		reply.Faults = append(reply.Faults, Fault{fault.Path, fault.Message})
+	}
+	write(w, statuses[outcome.Decline], reply)
+}
+
 func (d *Door) put(w http.ResponseWriter, r *http.Request) {
 	base, err := strconv.ParseUint(r.URL.Query().Get("base"), 10, 64)
 	if err != nil {
 		write(w, http.StatusBadRequest, Reply{Kind: "bad-base", Message: "name the version that the document was based on: ?base=N, 0 for the first"})
 		return
 	}
-	document, err := io.ReadAll(io.LimitReader(r.Body, constants.DocumentLimit+1))
+	limit := int64(constants.DocumentLimit)
+	if d.options.Routed != nil {
+		limit = constants.RoutesDocumentLimit
+	}
+	document, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
 	if err != nil {
 		write(w, http.StatusBadRequest, Reply{Kind: "cut-short", Message: "the document ended early; send it whole"})
 		return
 	}
-	if len(document) > constants.DocumentLimit {
-		write(w, http.StatusRequestEntityTooLarge, Reply{Kind: "oversize", Message: fmt.Sprintf("the document is above %d bytes; send less", constants.DocumentLimit)})
+	if int64(len(document)) > limit {
+		write(w, http.StatusRequestEntityTooLarge, Reply{Kind: "oversize", Message: fmt.Sprintf("the document is above %d bytes; send less", limit)})
 		return
 	}
-	if outcome := d.operate(w, r, &schema.OperatorQuery{Kind: schema.OperatorKind_OPERATOR_PUT, Document: document, Base: base, Key: r.Header.Get("Topazshed-Operator-Key")}); outcome != nil {
+	query := &schema.OperatorQuery{Kind: schema.OperatorKind_OPERATOR_PUT, Document: document, Base: base, Key: r.Header.Get("Topazshed-Operator-Key")}
+	if d.options.Routed != nil {
+		config, faults := routes.Read(document, base)
+		if len(faults) > 0 {
+			decline(w, &schema.OperatorOutcome{Decline: schema.DeclineKind_DECLINE_INVALID, Message: "the configuration is declined whole; nothing changed", Faults: faults})
+			return
+		}
+		query = &schema.OperatorQuery{Kind: schema.OperatorKind_OPERATOR_PUT_ROUTES, Routes: config}
+	}
+	if outcome := d.operate(w, r, query); outcome != nil {
 		write(w, http.StatusOK, Reply{Version: outcome.Version, Index: outcome.Index, Unconfirmed: outcome.Unconfirmed})
 	}
 }
@@ -214,11 +261,18 @@
 	w.Header().Set("Topazshed-Version", strconv.FormatUint(outcome.Version, 10))
 	if outcome.Version == 0 {
 		outcome.Document = []byte(`{"entries":[]}`)
+		if d.options.Routed != nil {
+			outcome.Document = []byte(`{"routes":[]}`)
+		}
 	}
 	w.Write(outcome.Document)
 }
 
 func (d *Door) ask(w http.ResponseWriter, r *http.Request) {
+	if d.options.Routed != nil {
+		write(w, http.StatusNotFound, Reply{Kind: "unknown", Message: "this fleet keeps no operator keys; put the same document on the same base again: it is taken once"})
+		return
+	}
 	if outcome := d.operate(w, r, &schema.OperatorQuery{Kind: schema.OperatorKind_OPERATOR_ASK, Key: r.URL.Query().Get("key")}); outcome != nil {
 		write(w, http.StatusOK, Reply{Version: outcome.Version, Index: outcome.Index})
 	}
@@ -238,11 +292,8 @@
 
 func (d *Door) status(w http.ResponseWriter, r *http.Request) {
 	s := d.Status()
-	ctx, cancel := context.WithTimeout(r.Context(), constants.ConfirmWait)
-	defer cancel()
-	if outcome, err := d.options.Operate(ctx, &schema.OperatorQuery{Kind: schema.OperatorKind_OPERATOR_STATUS}); err == nil && outcome != nil && outcome.Decline == schema.DeclineKind_DECLINE_NONE {
-		s.Unconfirmed = outcome.Unconfirmed
-	}
+	outcome, err := d.leaderWord(r.Context())
+	s.hear(outcome, err, d.placeName(d.options.Local().View))
 	write(w, http.StatusOK, s)
 }
 
@@ -251,13 +302,19 @@
 	now, local := d.options.Now(), d.options.Local()
 	view := local.View
 	s := &Status{Node: d.options.Self.Id, System: local.System, Role: local.Role, Term: local.Term, Leader: local.Leader, Index: view.Version, Rows: local.Rows,
-		Configuration: view.Head.Version, Fit: proxy.IsFit(now, local), ClockMs: now.Milliseconds(), FreshMs: (now - local.FreshAt).Milliseconds(), GrantMs: max(0, local.GrantUntil-now).Milliseconds(),
+		Configuration: view.Head.Version, Fit: d.isFit(now, local), ClockMs: now.Milliseconds(), FreshMs: (now - local.FreshAt).Milliseconds(), GrantMs: max(0, local.GrantUntil-now).Milliseconds(),
 		ListMs: -1, ListFault: local.ListFault, Suspects: local.Suspects, Outcomes: d.options.Stats()}
 	if local.ListAt > 0 {
 		s.ListMs = (now - local.ListAt).Milliseconds()
 	}
-	number, isMember, isReady, claims := d.options.Keeper()
-	s.Keeper = map[string]any{"number": number, "member": isMember, "ready": isReady, "claims": claims}
+	if d.options.Keeper != nil {
+		number, isMember, isReady, claims := d.options.Keeper()
+		s.Keeper = map[string]any{"number": number, "member": isMember, "ready": isReady, "claims": claims}
+	}
+	if d.options.Resting != nil {
+		s.Resting = d.options.Resting()
+		slices.Sort(s.Resting)
+	}
 	if d.options.Self.Disk {
 		disk := d.options.Disk()
 		s.Disk = &disk
@@ -269,13 +326,17 @@
 		}
 	}
 	for _, node := range view.Nodes {
-		s.Nodes = append(s.Nodes, NodeStatus{node.Id, node.Address, node.Proxy, node.Door, node.District, node.Region, node.Disk, strings.ToLower(strings.TrimPrefix(node.State.String(), "NODE_"))})
+		s.Nodes = append(s.Nodes, NodeStatus{ID: node.Id, Peer: node.Address, Proxy: node.Proxy, Door: node.Door, District: node.District, Region: node.Region, Disk: node.Disk,
+			State: strings.ToLower(strings.TrimPrefix(node.State.String(), "NODE_"))})
 	}
 	slices.SortFunc(s.Nodes, func(a, b NodeStatus) int { return strings.Compare(a.ID, b.ID) })
 	for _, district := range view.Districts {
 		s.Districts = append(s.Districts, DistrictStatus{district.Name, district.Region, district.Residue, district.Emptied, district.Reason})
 	}
 	slices.SortFunc(s.Districts, func(a, b DistrictStatus) int { return strings.Compare(a.Name, b.Name) })
+	if d.options.Routed != nil {
+		d.describe(s, view)
+	}
 	for _, service := range view.Services {
 		for _, entry := range service.Entries {
 			s.Entries = append(s.Entries, entry.Service+entry.Path)
@@ -291,6 +352,9 @@
 			if b.Failing {
 				state += ", failing"
 			}
+			if b.Cold && d.options.Routed != nil {
+				state += ", cold"
+			}
 			s.Backends = append(s.Backends, BackendStatus{b.Service, b.Instance, b.Address, b.District, state})
 		}
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -98,8 +98,11 @@
 // OpenFolder opens the data folder on the real disk.
 func OpenFolder(path string) (Folder, error) { return journal.OpenFolder(path) }
 
-// Start brings a process up; open gives its data folder.
+// Start brings a process up that speaks the product's own interface; open gives its data folder.
 func Start(s *settings.Settings, log *slog.Logger, open func(path string) (Folder, error)) (*Node, error) {
+	if s.Routes != nil {
+		return StartRouted(s, log, open, NativeSeam(s))
+	}
 	return StartRouted(s, log, open, nil)
 }
 
@@ -573,9 +576,21 @@
 
 func (n *Node) readPage(client *http.Client, number int) (roster.Page, time.Duration, error) {
 	var page roster.Page
-	response, err := client.Get(fmt.Sprintf("%s?page=%d", n.settings.Platform, number))
+	retry, err := fetchPage(n.context, client, n.settings.Platform, number, &page)
+	if err == nil && page.Page != number {
+		err = fmt.Errorf("the platform gave page %d for page %d", page.Page, number)
+	}
+	return page, retry, err
+}
+
+func fetchPage(ctx context.Context, client *http.Client, list string, number int, page any) (time.Duration, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, fmt.Sprintf("%s?page=%d", list, number), nil)
 	if err != nil {
-		return page, 0, fmt.Errorf("read the platform's list: %w", err)
+		return 0, fmt.Errorf("read the platform's list: %w", err)
+	}
+	response, err := client.Do(request)
+	if err != nil {
+		return 0, fmt.Errorf("read the platform's list: %w", err)
 	}
 	defer response.Body.Close()
 	if response.StatusCode != http.StatusOK {
@@ -583,19 +598,16 @@
 		if seconds, err := time.ParseDuration(response.Header.Get("Retry-After") + "s"); err == nil {
 			retry = min(seconds, 5*time.Second)
 		}
-		return page, retry, fmt.Errorf("read the platform's list: status %d", response.StatusCode)
+		return retry, fmt.Errorf("read the platform's list: status %d", response.StatusCode)
 	}
 	text, err := io.ReadAll(io.LimitReader(response.Body, 4<<20))
 	if err != nil {
-		return page, 0, fmt.Errorf("read the platform's list: %w", err)
-	}
-	if err := json.Unmarshal(text, &page); err != nil {
-		return page, 0, fmt.Errorf("the platform's list is no JSON: %w", err)
+		return 0, fmt.Errorf("read the platform's list: %w", err)
 	}
-	if page.Page != number {
-		return page, 0, fmt.Errorf("the platform gave page %d for page %d", page.Page, number)
+	if err := json.Unmarshal(text, page); err != nil {
+		return 0, fmt.Errorf("the platform's list is no JSON: %w", err)
 	}
-	return page, 0, nil
+	return 0, nil
 }
 
 // Wait blocks until the context ends or the disk fails, then stops the process without dropping a query.
--- a/internal/node/routed.go
+++ b/internal/node/routed.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"topazshed/internal/constants"
+	"topazshed/internal/control"
 	"topazshed/internal/core"
 	"topazshed/internal/gateway"
 	"topazshed/internal/journal"
@@ -62,6 +63,9 @@
 	Resolve func(region, district string) ([]string, time.Duration)
 	// IsReady tells whether this node may get requests.
 	IsReady func() bool
+	// Door is the product's own door for directory and operators; Insight is the part of it that only reads: status and standings.
+	Door    http.Handler
+	Insight http.Handler
 }
 
 func (n *Node) routed() *core.Routed {
@@ -86,6 +90,9 @@
 		return err
 	}
 	outside := &Outside{Requests: n.gateway, Operate: n.operate, Resolve: n.resolve, IsReady: n.isReady}
+	options := control.Options{Self: n.self, Now: n.Now, Local: n.local.Load, Operate: n.operate, Stats: n.gateway.Stats, Resting: func() []string { return n.gateway.Loads().Failing(n.Now()) },
+		Disk: func() control.Disk { return *n.disk.Load() }, Routed: &control.Routed{Resolve: n.resolve, IsReady: n.isReady}}
+	outside.Door, outside.Insight = control.New(options), control.NewInsight(options)
 	for address, handler := range n.seam.Serve(outside) {
 		if err := n.serve("door", address, handler); err != nil {
 			return err
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -30,6 +30,20 @@
 	Backends []Item `json:"backends"`
 }
 
+// RoutedItem is one line of the list of a fleet that carries routes.
+type RoutedItem struct {
+	Item
+	// Slots are the requests that it works on at once, ColdLeftMS is how long it stays slow.
+	Slots      uint32 `json:"slots"`
+	ColdLeftMS int64  `json:"cold_left_ms"`
+}
+
+// RoutedPage is one page of that list.
+type RoutedPage struct {
+	Page
+	Backends []RoutedItem `json:"backends"`
+}
+
 // Sweep is a whole read of the list.
 type Sweep struct {
 	Items   []Item
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -30,6 +30,8 @@
 	DiskBytes int64 `json:"disk_bytes"`
 	// Rejoin says that the system was founded before: a machine without state joins it and never founds another.
 	Rejoin bool `json:"rejoin"`
+	// Routes, where it is given, makes this a fleet that carries routes; without it the fleet carries entries.
+	Routes *Routes `json:"routes,omitempty"`
 }
 
 // Fault is one thing wrong with the settings and how to mend it.
@@ -62,6 +64,7 @@
 	flags.StringVar(&given.Data, "data", "", "data folder; only on machines with a disk")
 	flags.StringVar(&given.Platform, "platform", "", "http URL of the platform's back-end list")
 	flags.StringVar(&given.LogLevel, "log-level", "", "debug, info, warn or error (default info)")
+	isRouted := flags.Bool("routes", false, "carry routes, with the default bounds if the file gives none")
 	return func() (*Settings, error) {
 		settings := &Settings{}
 		if *file != "" {
@@ -88,6 +91,9 @@
 				*pair.to = pair.from
 			}
 		}
+		if *isRouted && settings.Routes == nil {
+			settings.Routes = DefaultRoutes()
+		}
 		if *seeds != "" {
 			settings.Seeds = strings.Split(*seeds, ",")
 		}
@@ -159,6 +165,9 @@
 	if s.Data != "" && s.Platform == "" {
 		add("platform", "is missing; a machine with a data folder may lead and must reach the list")
 	}
+	if s.Routes != nil {
+		s.Routes.check(add)
+	}
 	switch s.LogLevel {
 	case "":
 		s.LogLevel = "info"
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -1,6 +1,7 @@
 package settings
 
 import (
+	"encoding/json"
 	"errors"
 	"flag"
 	"os"
@@ -25,6 +26,10 @@
 		{"an unspecified address", "", append(slices.Clone(good), "-proxy", "0.0.0.0:7002"), []string{"proxy"}},
 		{"a file with an unknown field", `{"peer":"127.0.0.1:1","colour":"red"}`, nil, []string{"settings"}},
 		{"a file that is no JSON", `peer=1`, nil, []string{"settings"}},
+		{"routes by a flag", "", append(slices.Clone(good), "-routes"), nil},
+		{"routes with some bounds", `{"routes":{"retry_ratio":0.1}}`, good, nil},
+		{"routes with bounds that can't be kept", `{"routes":{"retry_ratio":-1,"retry_window_ms":5,"list_rate":-3,"stop_grace_ms":0}}`, good, []string{"routes.retry_ratio", "routes.retry_window_ms", "routes.list_rate", "routes.stop_grace_ms"}},
+		{"routes with an unknown bound", `{"routes":{"colour":1}}`, good, []string{"settings"}},
 		{"flags override the file", `{"peer":"nonsense"}`, good, nil},
 	} {
 		t.Run(c.name, func(t *testing.T) {
@@ -55,3 +60,15 @@
 		})
 	}
 }
+
+func TestRoutesKeepDefaults(t *testing.T) {
+	var got Settings
+	if err := json.Unmarshal([]byte(`{"routes":{"retry_slack":68}}`), &got); err != nil {
+		t.Fatal(err)
+	}
+	want := DefaultRoutes()
+	want.RetrySlack = 68
+	if *got.Routes != *want {
+		t.Fatalf("%+v", got.Routes)
+	}
+}
