Metrics in the usual text form at the door; the platform's control address shows its reading part

Cause: what a node counts and knows could be had only as the status document.

Change: GET /metrics writes counters of the gateway and facts of status with VictoriaMetrics/metrics, on request, into one buffer; nothing is registered or counted for it, the request path is untouched and no other node is asked. platform/ leaves calls that it doesn't know at the control address to Outside.Insight: status, standings and metrics, which only read, so that the commands status and doctor work there.

Ruled out: registered metrics of the library, which live all the time; the usual client of the field, several times as large.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -164,12 +164,13 @@
 	return router
 }
 
-// NewInsight makes the part of the door that only reads and asks no operator's leave: status and standings.
+// NewInsight makes the part of the door that only reads and asks no operator's leave: status, standings, metrics.
 func NewInsight(options Options) http.Handler { return (&Door{options}).insight() }
 
 func (d *Door) insight() *chi.Mux {
 	router := chi.NewRouter()
 	router.Get("/v1/status", d.status)
+	router.Get("/metrics", d.metrics)
 	if d.options.Routed != nil {
 		router.Get("/v1/standings", d.standings)
 		router.Get("/v1/standings/{region}", d.standing)
