Status and doctor explain routed fleets

Cause: status printed only machines and rows, and doctor looked only for faults of fleets of entries; neither could be asked of a fleet that carries routes.

Ruled out: asking every machine for its resting back ends in status; doctor asks them all anyway.

Nothing that a serving machine runs has changed.

--- a/cmd/topazshed/commands.go
+++ b/cmd/topazshed/commands.go
@@ -146,9 +146,16 @@
 	return subcommands.ExitFailure
 }
 
+func unconfirmedText(districts []string) string {
+	if len(districts) == 0 {
+		return ""
+	}
+	return fmt.Sprintf("not confirmed yet by every proxy of %s: those out of the core's reach go on as before; see status until they have", strings.Join(districts, ", "))
+}
+
 func tellUnconfirmed(districts []string) {
-	if len(districts) > 0 {
-		fmt.Printf("not confirmed yet by every proxy of %s: those out of the core's reach go on as before; see status until they have\n", strings.Join(districts, ", "))
+	if text := unconfirmedText(districts); text != "" {
+		fmt.Println(text)
 	}
 }
 
@@ -283,17 +290,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		return subcommands.ExitFailure
 	}
-	fmt.Printf("node %s (%s), term %d, leader %s, index %d, configuration %d, fit %v, grant %d ms\n", s.Node, s.Role, s.Term, s.Leader, s.Index, s.Configuration, s.Fit, s.GrantMs)
-	tellUnconfirmed(s.Unconfirmed)
-	for _, d := range s.Districts {
-		fmt.Printf("district %-12s region %-10s residue %2d emptied %v %s\n", d.Name, d.Region, d.Residue, d.Emptied, d.Reason)
-	}
-	for _, n := range s.Nodes {
-		fmt.Printf("machine  %s %-9s district %-10s proxy %s door %s disk %v\n", n.ID, n.State, n.District, n.Proxy, n.Door, n.Disk)
-	}
-	for _, row := range s.Standings {
-		fmt.Printf("standing %-20s %-6s %-10s -> %-14s number %d fenced %v: %s\n", row.Service+row.Path, row.Kind, row.Region, row.Active, row.Number, row.Fenced, row.Reason)
-	}
+	printStatus(os.Stdout, &s)
 	return code
 }
 
--- a/cmd/topazshed/doctor.go
+++ b/cmd/topazshed/doctor.go
@@ -279,6 +279,7 @@
 	if leader != nil {
 		first = leader
 	}
+	findings = append(findings, judgeRouted(first, all)...)
 	backed := map[string]bool{}
 	for _, b := range first.Backends {
 		if b.State == "ready" {
