Rig: a fleet that carries routes over the product's own interface, under troubles

Cause: the native seam had been driven only in one process.

Change: rig routed runs 15 real processes with routes in their settings against stand-ins of its own (a paged list, back ends that take key calls), puts a configuration, sends a load, empties and restores a zone, kills the leader and starts it again, and judges: nothing unrepeatable runs twice, no key has two holders, no answer is another's or cut, each refusal names Retry-After, an emptied zone gets nothing after 2.5 s, every door reads back the same bytes, nine tenths are served. -demo prints the doors instead. test.sh runs it for 24 s.

Tests: TestRoutedStandInsWatchOverKeys, TestRoutedStandInRunsOnlyWhatIsItsOwn (the judge's own watch is seen to fail), TestRoutedTellsEveryFaultOfItsArguments.

--- a/cmd/rig/fleet.go
+++ b/cmd/rig/fleet.go
@@ -79,6 +79,7 @@
 	platform string
 	faulty   string
 	level    string
+	routes   map[string]any
 	spawner  sync.Once
 	spawns   chan func()
 }
@@ -165,6 +166,9 @@
 		settings["data"] = m.data
 		settings["platform"] = f.platform
 	}
+	if f.routes != nil {
+		settings["routes"] = f.routes
+	}
 	text, err := json.Marshal(settings)
 	if err != nil {
 		return err
--- a/cmd/rig/main.go
+++ b/cmd/rig/main.go
@@ -354,6 +354,7 @@
 	subcommands.Register(&runCommand{}, "")
 	subcommands.Register(&runCommand{isDemo: true}, "")
 	subcommands.Register(&machineCommand{}, "")
+	subcommands.Register(&routedCommand{}, "")
 	subcommands.Register(&simCommand{}, "")
 	subcommands.Register(&scaleCommand{}, "")
 	subcommands.Register(&failoverCommand{}, "")
--- a/test.sh
+++ b/test.sh
@@ -24,3 +24,4 @@
 bin/rig sim -scenario all -seeds 1-20
 bin/rig run -deployment office -rate 100 -seconds 32 -seed 1 -scenario scenarios/ci.txt
 bin/rig run -deployment port -rate 200 -seconds 50 -seed 1 -scenario scenarios/ci-port.txt
+bin/rig routed -seconds 24 -seed 1
