A node bounds the requests that it has in flight by its memory, by rank

Cause: nothing bounded them; each may keep 64 KiB of a body and of an answer, so that callers who press on a small machine could take it over its memory, which ends the process and all that it carries.

Ruled out: the present load: even a burst of 6 takes 21 MB.

The change: half of the process's memory limit, at 256 KiB a request, is room; above it a request is refused at once with Retry-After. Each lower rank leaves an eighth of the room to the higher ones.

--- a/internal/constants/constants.go
+++ b/internal/constants/constants.go
@@ -446,6 +446,16 @@
 	ListCall = 700 * time.Millisecond
 	// SettingsEvery (time) is how often a routed node looks whether its settings file has changed: nobody need tell it.
 	SettingsEvery = 2 * time.Second
+	// RequestBytes (bytes) that a request in flight may take: what is kept of its body and its answer, buffers and stacks, and their garbage.
+	RequestBytes = 256 << 10
+	// RoomParts (parts) of the process's memory, one of which requests in flight may take.
+	RoomParts = 2
+	// RoomLeast (requests) a node may have in flight however little memory it has.
+	RoomLeast = 64
+	// RoomMost (requests) a node may have in flight however much memory it has: each takes two descriptors.
+	RoomMost = 4096
+	// RoomRankParts (parts) of the room, one of which each lower rank leaves to the higher ones.
+	RoomRankParts = 8
 	// CallerHead (time) that a request's head may take if the configuration says nothing.
 	CallerHead = 5 * time.Second
 	// CallerIdle (time) that a caller's connection may stay idle if the configuration says nothing.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -46,7 +46,9 @@
 	Names  Names
 	Bounds Bounds
 	Listen string
-	Log    *slog.Logger
+	// Room is how many requests may be in flight; 0 is no bound.
+	Room int
+	Log  *slog.Logger
 }
 
 // Stats count what a gateway did since its start.
@@ -65,6 +67,7 @@
 	pool     *Pool
 	loads    *Loads
 	pressure *Pressure
+	inFlight atomic.Int64
 	stopping atomic.Bool
 }
 
@@ -210,6 +213,13 @@
 		return
 	}
 	left := g.wait(r, time.Duration(route.TimeoutMs)*time.Millisecond)
+	inFlight := int(g.inFlight.Add(1))
+	defer g.inFlight.Add(-1)
+	if g.options.Room > 0 && IsFull(inFlight, g.options.Room, route.Priority) {
+		g.stats.Refused.Add(1)
+		g.tell(w, id, http.StatusServiceUnavailable, string(RefusalBusy), "this node has too many requests in flight; another may have room", ComeBack(constants.RefuseAfter, left, g.options.Draw))
+		return
+	}
 	options := CourseOptions{Self: g.options.Self, Loads: g.loads, Pressure: g.pressure, Draw: g.options.Draw, Route: route, Service: g.pick(route), Token: id, Begun: begun, Until: begun + left, IsReplayable: true}
 	if text := r.Header.Get(names.Key); text != "" {
 		key, err := strconv.ParseUint(text, 10, 16)
--- a/internal/node/routed.go
+++ b/internal/node/routed.go
@@ -5,6 +5,7 @@
 	"errors"
 	"math/rand/v2"
 	"net/http"
+	"runtime/debug"
 	"slices"
 	"sync"
 	"syscall"
@@ -79,7 +80,7 @@
 
 func (n *Node) startRouted() error {
 	n.gateway = gateway.New(gateway.Options{Self: n.self, Now: n.Now, Local: n.local.Load, Draw: rand.Int64N, Names: n.seam.Names, Bounds: n.seam.Bounds.Bounds,
-		Listen: n.settings.Proxy, Log: n.log.With("part", "gateway")})
+		Listen: n.settings.Proxy, Room: gateway.Room(debug.SetMemoryLimit(-1)), Log: n.log.With("part", "gateway")})
 	n.Push("gateway", n.gateway.Close)
 	for name, service := range map[string]any{"core": n.core, "gateway": n.gateway} {
 		if err := n.Register(name, service); err != nil {
