Requests to cold back ends count when they are sent

Cause: they were counted when the back end was chosen; over a slow new connection they went out up to 0.4 s later, together with the next second's: 56 in a second where 29 are allowed. Ruled out: a longer second for all, which slows every return. Change: the count moves to the instant at which the connection stands. TestColdBackEndsAreCountedWhenTheyAreSentTo failed before.

--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -47,6 +47,8 @@
 	Backend *schema.Backend
 	Place   standing.Place
 	Refusal Refusal
+	// IsCold says that the attempt was counted for a cold back end.
+	IsCold bool
 }
 
 type candidate struct {
@@ -107,10 +109,11 @@
 	if s.Loads.Read(s.Now, backend.Instance).IsResting {
 		return Choice{Refusal: RefusalBusy}
 	}
-	if isCold(s.View, backend) && !s.Loads.MayCold(s.Now, backend.Instance, service.Policy, len(s.View.Nodes)) {
+	isColdOne := isCold(s.View, backend)
+	if isColdOne && !s.Loads.MayCold(s.Now, backend.Instance, service.Policy, len(s.View.Nodes)) {
 		return Choice{Refusal: RefusalCold}
 	}
-	return Choice{Backend: backend, Place: places[at]}
+	return Choice{Backend: backend, Place: places[at], IsCold: isColdOne}
 }
 
 // strain is how much longer a back end takes for what it seems to have in flight: the other nodes near it are taken to send as much as this one.
@@ -198,5 +201,5 @@
 	if best == nil {
 		return Choice{Refusal: refusal}
 	}
-	return Choice{Backend: best.backend, Place: best.place}
+	return Choice{Backend: best.backend, Place: best.place, IsCold: best.isCold}
 }
--- a/internal/gateway/course.go
+++ b/internal/gateway/course.go
@@ -96,6 +96,7 @@
 	searches int
 	tried    []string
 	choice   Choice
+	chosenAt time.Duration
 	mayRun   bool
 	parkedAt time.Duration
 	reason   string
@@ -110,6 +111,9 @@
 	switch e.Kind {
 	case EventConnected:
 		c.sent++
+		if c.choice.IsCold {
+			c.Loads.ColdSent(c.chosenAt, now, c.choice.Backend.Instance)
+		}
 		return Order{Kind: OrderSend, Backend: c.choice.Backend}
 	case EventOversize:
 		return Order{Kind: OrderFail, Status: 413, Reason: e.Reason}
@@ -180,7 +184,7 @@
 		}
 		c.Repeats++
 	}
-	c.choice = choice
+	c.choice, c.chosenAt = choice, now
 	return Order{Kind: OrderConnect, Backend: choice.Backend, Wait: min(constants.BackendConnect, c.Until-now)}
 }
 
--- a/internal/gateway/limits_test.go
+++ b/internal/gateway/limits_test.go
@@ -103,3 +103,53 @@
 		})
 	}
 }
+
+// Connecting takes 350 ms in every other second: what was chosen in one second may be sent in the next, together with that second's own.
+func TestColdBackEndsAreCountedWhenTheyAreSentTo(t *testing.T) {
+	w := newWorld(t)
+	w.backend("i-cold", "kol-a", "10.0.0.1:80", isColdBy("n1"))
+	view := w.settle()
+	most := int(16*bounds.ColdExcess + bounds.ColdMargin)
+	random := rand.New(rand.NewPCG(7, 7))
+	loads := NewLoads(0, bounds)
+	type pending struct {
+		course *Course
+		at     time.Duration
+	}
+	var connecting []pending
+	var sends []time.Duration
+	for now := time.Hour; now < time.Hour+12*time.Second; now += 10 * time.Millisecond {
+		connecting = slices.DeleteFunc(connecting, func(p pending) bool {
+			if p.at <= now {
+				p.course.Next(now, view, Event{Kind: EventConnected})
+				sends = append(sends, now)
+			}
+			return p.at <= now
+		})
+		for range 3 {
+			course := NewCourse(CourseOptions{Self: self, Loads: loads, Draw: random.Int64N, Service: "copper", Token: "x", Begun: now, Until: now + 2*time.Second, IsReplayable: true,
+				Route: &schema.Route{TimeoutMs: 2000, TargetMs: 300, MaxAttempts: 1}})
+			if order := course.Next(now, view, Event{Kind: EventBegun}); order.Kind == OrderConnect {
+				wait := time.Duration(0)
+				if now.Truncate(2*time.Second) == now.Truncate(time.Second) {
+					wait = 350 * time.Millisecond
+				}
+				connecting = append(connecting, pending{course, now + wait})
+			}
+		}
+	}
+	for i, from := range sends {
+		count := 0
+		for _, at := range sends[i:] {
+			if at <= from+time.Second {
+				count++
+			}
+		}
+		if count > most {
+			t.Fatalf("%d requests in a second, %d are allowed", count, most)
+		}
+	}
+	if len(sends) < 100 {
+		t.Fatalf("only %d requests in 12 s", len(sends))
+	}
+}
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -217,6 +217,16 @@
 	return true
 }
 
+// ColdSent moves a request to a cold back end that was counted when it was chosen to when it is sent: a connection was made in between.
+func (l *Loads) ColdSent(chosen, now time.Duration, id string) {
+	s, free := l.in(id)
+	defer free()
+	i := s.instance(id)
+	if at := slices.Index(i.sends, chosen); at >= 0 {
+		i.sends = append(slices.Delete(i.sends, at, at+1), now)
+	}
+}
+
 func (s *shard) window(service string) *budget.Bucket {
 	w := s.windows[service]
 	if w == nil {
