A jury without words looks at nothing

Cause: the plan, made at each step of the leader, copied every back end's row to compare it. With 20000 back ends a calm plan took 206 ms.

Change: nothing is planned while there is no word, no case and no failing row; rows without a case are passed over; cases that are forgiven and words that are old are dropped.

BenchmarkACalmJury, 20000 back ends: 206 ms, 10.5 ms with rows passed over, 0.07 ms now (on a machine that was busy with other work). TestJury as before.

--- a/internal/roster/jury.go
+++ b/internal/roster/jury.go
@@ -62,6 +62,9 @@
 
 // Plan gives the record that brings the rows in line with the verdicts, or nil.
 func (j *Jury) Plan(now time.Duration, view *image.View, table *image.Table) *schema.Record {
+	if len(j.votes) == 0 && len(j.trials) == 0 && !hasFailing(view) {
+		return nil
+	}
 	record := &schema.Record{Kind: schema.RecordKind_RECORD_ROWS, Reason: "failing back ends"}
 	ready := map[string][]string{}
 	for _, id := range slices.Sorted(maps.Keys(view.Nodes)) {
@@ -94,7 +97,10 @@
 				continue
 			}
 			t := j.step(now, backend, service.Policy.GetKeyed(), ready, needed, failing*100 < open*constants.JuryFloor)
-			isFailing := t != nil && t.stage != stageClear
+			if t == nil {
+				continue
+			}
+			isFailing := t.stage != stageClear
 			if isFailing && !backend.Failing {
 				failing++
 			}
@@ -113,11 +119,22 @@
 			}
 		}
 	}
-	maps.DeleteFunc(j.votes, func(id string, _ map[string]vote) bool { return !known[id] })
-	maps.DeleteFunc(j.trials, func(id string, _ *trial) bool { return !known[id] })
+	maps.DeleteFunc(j.votes, func(id string, votes map[string]vote) bool { return !known[id] || len(votes) == 0 })
+	maps.DeleteFunc(j.trials, func(id string, t *trial) bool {
+		return !known[id] || t.stage == stageClear && now-t.since > constants.JuryForgiven
+	})
 	return whole(record)
 }
 
+func hasFailing(view *image.View) bool {
+	for _, service := range view.Services {
+		if slices.ContainsFunc(service.Backends, func(b *schema.Backend) bool { return b.Failing }) {
+			return true
+		}
+	}
+	return false
+}
+
 func (j *Jury) recent(now time.Duration, id string, since time.Duration) map[string]vote {
 	votes := j.votes[id]
 	maps.DeleteFunc(votes, func(_ string, v vote) bool { return now-v.at > constants.JuryWindow || v.at < since })
--- a/internal/roster/jury_test.go
+++ b/internal/roster/jury_test.go
@@ -171,3 +171,22 @@
 		t.Fatalf("one that turned cold is %v", b)
 	}
 }
+
+func BenchmarkACalmJury(b *testing.B) {
+	table := image.NewTable()
+	var rows []*schema.Row
+	for i := range 20000 {
+		id := fmt.Sprintf("i-%05d", i)
+		service := fmt.Sprintf("s-%03d", i%200)
+		rows = append(rows, image.Put(image.BackendKey(service, id), &schema.Backend{Service: service, Instance: id, Address: id, District: "kol-a", State: schema.BackendState_BACKEND_READY}))
+	}
+	if _, err := table.Apply(1, &schema.Record{Kind: schema.RecordKind_RECORD_ROWS, Rows: rows}, nil); err != nil {
+		b.Fatal(err)
+	}
+	view, jury := image.Compile(table), NewJury()
+	for b.Loop() {
+		if jury.Plan(time.Hour, view, table) != nil {
+			b.Fatal("a verdict without a word")
+		}
+	}
+}
