Pages of a long read of the list are taken as they come

Cause: a read of eleven pages at fifteen calls a second takes about two seconds over far links; a back end that left on a page just read was known at the end of the next read only, 2.6 s after. Change: after 0.6 s of a read, what it has given so far is planned on; it removes nothing. The long lists of TestPagesOfALongReadAreTakenAsTheyCome failed without it.

--- a/internal/constants/constants.go
+++ b/internal/constants/constants.go
@@ -432,6 +432,8 @@
 	ListRest = 1400 * time.Millisecond
 	// ListDrainParts (parts) of that bound, one of which is the longest pause between two reads of a short list.
 	ListDrainParts = 6
+	// ListTellAfter (time) of a read after which its pages are taken as they come: a paced read of many pages takes seconds, and those that leave must be known sooner.
+	ListTellAfter = 600 * time.Millisecond
 	// ListSecond (time) is the second in which calls are counted, longer by what a call may be under way.
 	ListSecond = 1100 * time.Millisecond
 	// ListRefused (time) after a refused call before the page is asked for again: others, such as a leader before, use the rate too.
--- a/internal/node/routed.go
+++ b/internal/node/routed.go
@@ -42,8 +42,8 @@
 	Bounds Bounds
 	// Districts are the deployment's, each with its region, also those without a machine.
 	Districts map[string]string
-	// List reads the platform's whole list once, and tells how many calls it took. It takes its turn before each call, and tells how often
-	// that page was refused; an error of the turn ends the read.
+	// List reads the platform's whole list once, and tells how many calls it took. It takes its turn before each call; an error of the turn
+	// ends the read.
 	List func(ctx context.Context, turn Turn) ([]roster.Listed, int, error)
 	// Grant carries out one call to a back end; the error tells why there was no answer.
 	Grant func(ctx context.Context, call keys.Call) (keys.Answer, error)
@@ -51,8 +51,8 @@
 	Serve func(*Outside) map[string]http.Handler
 }
 
-// Turn waits until the list may be called.
-type Turn func(ctx context.Context, refusals int) error
+// Turn waits until the list may be called; refusals are how often the page was refused, items those of the pages before.
+type Turn func(ctx context.Context, refusals int, items []roster.Listed) error
 
 // Outside is what a node offers to those who speak to it through a seam.
 type Outside struct {
@@ -155,7 +155,11 @@
 func (n *Node) readList() {
 	pause := constants.ListEvery
 	pace := roster.NewPace(n.seam.Bounds.ListRate)
-	turn := func(ctx context.Context, refusals int) error {
+	turn := func(ctx context.Context, refusals int, items []roster.Listed) error {
+		if begun, isDue := pace.Part(n.Now(), len(items)); isDue {
+			part := roster.Listing{BegunAt: begun, Items: slices.Clone(items)}
+			n.do(func() { n.core.SetListing(n.Now(), part) })
+		}
 		wait, err := pace.Turn(n.Now(), refusals)
 		if err != nil || wait <= 0 {
 			return err
@@ -176,7 +180,7 @@
 		if n.local.Load().Role != "leader" {
 			continue
 		}
-		listing := roster.Listing{BegunAt: n.Now(), IsWhole: true}
+		listing := roster.Listing{BegunAt: pace.Begin(n.Now()), IsWhole: true}
 		items, calls, err := n.seam.List(n.context, turn)
 		pause = max(n.listEvery(), n.listPause(calls)-(n.Now()-listing.BegunAt))
 		if err != nil {
--- a/internal/node/routed_test.go
+++ b/internal/node/routed_test.go
@@ -109,7 +109,7 @@
 }
 
 func (p *platform) list(ctx context.Context, turn node.Turn) ([]roster.Listed, int, error) {
-	if err := turn(ctx, 0); err != nil {
+	if err := turn(ctx, 0, nil); err != nil {
 		return nil, 0, err
 	}
 	p.reads.Add(1)
--- a/internal/roster/pace.go
+++ b/internal/roster/pace.go
@@ -11,6 +11,8 @@
 type Pace struct {
 	usable float64
 	turns  []time.Duration
+	begun  time.Duration
+	told   int
 }
 
 // NewPace makes one for a list that takes so many calls a second; 0 is no bound.
@@ -23,6 +25,21 @@
 	return fmt.Sprintf("one page was refused %d times for too many calls; raise the list's rate, or find who else calls it", e.Refusals)
 }
 
+// Begin tells that a read of the list begins, and gives when.
+func (p *Pace) Begin(now time.Duration) time.Duration {
+	p.begun, p.told = now, 0
+	return now
+}
+
+// Part gives when the read began, and whether the back ends that it has given so far are to be taken now: a long read's pages as they come.
+func (p *Pace) Part(now time.Duration, count int) (time.Duration, bool) {
+	isDue := count > p.told && now-p.begun >= constants.ListTellAfter
+	if isDue {
+		p.told = count
+	}
+	return p.begun, isDue
+}
+
 // Turn counts a call and gives how long it must wait; refusals are how often its page was refused.
 func (p *Pace) Turn(now time.Duration, refusals int) (time.Duration, error) {
 	if refusals > constants.ListRefusals {
--- a/internal/roster/pace_test.go
+++ b/internal/roster/pace_test.go
@@ -66,3 +66,58 @@
 		t.Fatalf("no end: %v", err)
 	}
 }
+
+// A read of eleven pages at fifteen calls a second takes two seconds over a far link; a back end that left on a page just read was known only
+// at the end of the next read.
+func TestPagesOfALongReadAreTakenAsTheyCome(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		rate  float64
+		pages int
+		call  time.Duration
+		parts int
+		most  time.Duration
+	}{
+		{"a short read is taken whole", 43, 6, 80 * time.Millisecond, 0, time.Second},
+		{"a long list over a far link", 15, 11, 80 * time.Millisecond, 3, 2 * time.Second},
+		{"a long list, few calls", 6, 12, 10 * time.Millisecond, 7, 3400 * time.Millisecond},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			p, now := NewPace(c.rate), time.Hour
+			known := map[int]time.Duration{}
+			worst := time.Duration(0)
+			for range 3 {
+				p.Begin(now)
+				parts, read := 0, map[int]time.Duration{}
+				take := func() {
+					for page, at := range read {
+						if before, isKnown := known[page]; isKnown {
+							worst = max(worst, now-before)
+						}
+						known[page] = at
+					}
+				}
+				for page := range c.pages {
+					if _, isDue := p.Part(now, page); isDue {
+						parts++
+						take()
+					}
+					wait, err := p.Turn(now, 0)
+					if err != nil {
+						t.Fatal(err)
+					}
+					now += wait
+					read[page] = now
+					now += c.call
+				}
+				take()
+				if parts < c.parts || c.parts == 0 && parts > 0 {
+					t.Errorf("%d parts, want %d", parts, c.parts)
+				}
+			}
+			if worst > c.most {
+				t.Errorf("a page's change is known after up to %v, want %v", worst, c.most)
+			}
+		})
+	}
+}
