A connection agrees on a version: spans in the first frame, one answer

Cause: since frames leave out a sender that the connection has told, a node of the landed program (version 1) gets frames without a sender and drops them: no roll-out from it is possible.

Ruled out (docs/rollouts.md weighs them): spans learned from the peer's own connections, spans by address from the table, a handshake before the first frame.

Change: internal/versions lists versions and features, spans, agreement and typed errors. The first frame of a connection tells the sender's span (three bytes), the acceptor answers once (seven bytes), senders are left out only after an answer that reads it.

Seen failing first, with the writer as it was: TestAVersionOnePeerIsSpokenToInVersionOne, TestSendersAreLeftOutOnlyTowardsPeersThatReadIt, TestOldAndNewProcessesTalk.

--- a/internal/constants/constants.go
+++ b/internal/constants/constants.go
@@ -185,6 +185,14 @@
 	DialWait = 800 * time.Millisecond
 	// FrameSilence (time) without word that sent bytes arrived after which a connection to a peer is given up and dialled anew: after a healed cut its own next try may be seconds away.
 	FrameSilence = time.Second
+	// DialPause (time) passes after a connection to a peer failed before the next is tried: a process that starts is found soon, one that is gone costs little.
+	DialPause = 100 * time.Millisecond
+	// DisjointPause (time) passes before a peer that has no version in common is called again: only an operator changes that.
+	DisjointPause = 5 * time.Second
+	// AnswerLimit (bytes) is the largest frame that answers a connection's first one: it holds a span of versions and no more.
+	AnswerLimit = 64
+	// FleetRiseAfter (time) is how long all must have been able to read a version before the fleet uses it: as long as an operator needs to see the last node's figures and go back.
+	FleetRiseAfter = 10 * time.Minute
 	// FrameStall (time) is when a write to a peer that takes nothing is given up.
 	FrameStall = 2 * time.Second
 	// DocumentLimit (bytes) of an operator's configuration: an eighth of a frame, so its rows fit one record.
--- a/internal/frame/frame.go
+++ b/internal/frame/frame.go
@@ -19,13 +19,14 @@
 	"topazshed/internal/constants"
 	"topazshed/internal/schema"
 	"topazshed/internal/sockets"
+	"topazshed/internal/versions"
 )
 
 // OversizeError says that a peer announced a frame above the limit.
-type OversizeError struct{ Size uint32 }
+type OversizeError struct{ Size, Limit uint32 }
 
 func (e *OversizeError) Error() string {
-	return fmt.Sprintf("frame of %d bytes is above the limit of %d; the connection is closed, check the peer's version", e.Size, constants.FrameLimit)
+	return fmt.Sprintf("frame of %d bytes is above the limit of %d; the connection is closed, check the peer's version", e.Size, e.Limit)
 }
 
 // Write sends one frame.
@@ -36,7 +37,7 @@
 		return fmt.Errorf("encode frame: %w", err)
 	}
 	if len(text)-4 > constants.FrameLimit {
-		return &OversizeError{uint32(len(text) - 4)}
+		return &OversizeError{uint32(len(text) - 4), constants.FrameLimit}
 	}
 	binary.BigEndian.PutUint32(text, uint32(len(text)-4))
 	_, err = w.Write(text)
@@ -44,14 +45,16 @@
 }
 
 // Read takes one frame.
-func Read(r io.Reader) (*schema.Frame, error) {
+func Read(r io.Reader) (*schema.Frame, error) { return readBelow(r, constants.FrameLimit) }
+
+func readBelow(r io.Reader, limit uint32) (*schema.Frame, error) {
 	var head [4]byte
 	if _, err := io.ReadFull(r, head[:]); err != nil {
 		return nil, err
 	}
 	size := binary.BigEndian.Uint32(head[:])
-	if size > constants.FrameLimit {
-		return nil, &OversizeError{size}
+	if size > limit {
+		return nil, &OversizeError{size, limit}
 	}
 	text := make([]byte, size)
 	if _, err := io.ReadFull(r, text); err != nil {
@@ -64,65 +67,13 @@
 	return frame, nil
 }
 
-// OriginError says that the first frame of a connection does not tell who sent it.
-type OriginError struct{}
-
-func (e *OriginError) Error() string {
-	return "the first frame of a connection names no sender; the connection is closed, check the peer's version"
-}
-
-// Writer sends frames on one connection; only the first one, and those that differ from it, name their sender.
-type Writer struct {
-	out    io.Writer
-	origin *schema.Frame
-}
-
-// NewWriter begins a connection's frames.
-func NewWriter(out io.Writer) *Writer { return &Writer{out: out, origin: &schema.Frame{}} }
-
-func isSameOrigin(a, b *schema.Frame) bool {
-	return a.System == b.System && a.From == b.From && a.Address == b.Address
-}
-
-// Write sends one frame, which stays as it is.
-func (w *Writer) Write(frame *schema.Frame) error {
-	if frame.From != "" && isSameOrigin(frame, w.origin) {
-		return Write(w.out, &schema.Frame{Call: frame.Call, Outcome: frame.Outcome, Body: frame.Body})
-	}
-	w.origin = frame
-	return Write(w.out, frame)
-}
-
-// Reader takes the frames of one connection and gives each its sender.
-type Reader struct {
-	in     io.Reader
-	origin *schema.Frame
-}
-
-// NewReader begins a connection's frames.
-func NewReader(in io.Reader) *Reader { return &Reader{in: in} }
-
-// Read takes one frame.
-func (r *Reader) Read() (*schema.Frame, error) {
-	frame, err := Read(r.in)
-	switch {
-	case err != nil:
-		return nil, err
-	case frame.From != "":
-		r.origin = &schema.Frame{System: frame.System, From: frame.From, Address: frame.Address}
-	case r.origin == nil:
-		return nil, &OriginError{}
-	default:
-		frame.System, frame.From, frame.Address = r.origin.System, r.origin.From, r.origin.Address
-	}
-	return frame, nil
-}
-
 // Options say how a Net listens and to whom it gives frames.
 type Options struct {
 	Listen string
 	Handle func(*schema.Frame)
 	Log    *slog.Logger
+	// Speaks are the versions that this process speaks; the zero value is the program's own.
+	Speaks versions.Span
 }
 
 // Net is a process's frame transport: one outgoing connection for each peer.
@@ -185,9 +136,13 @@
 		delete(n.inbound, conn)
 		n.lock.Unlock()
 	}()
-	reader := NewReader(bufio.NewReaderSize(conn, 64<<10))
-	for {
+	reader := NewReaderFor(bufio.NewReaderSize(conn, 64<<10), n.options.Speaks.OrOwn())
+	for isFirst := true; ; isFirst = false {
 		frame, err := reader.Read()
+		if isFirst && reader.IsAnswerDue() {
+			conn.SetWriteDeadline(time.Now().Add(constants.FrameStall))
+			err = errors.Join(err, Answer(conn, n.options.Speaks.OrOwn()))
+		}
 		if err != nil {
 			if !errors.Is(err, io.EOF) && !errors.Is(err, net.ErrClosed) {
 				n.options.Log.Warn("peer connection closed", "peer", conn.RemoteAddr().String(), "reason", err.Error())
@@ -198,6 +153,15 @@
 	}
 }
 
+// heed takes what the other end of an outgoing connection says: which versions it speaks, once; one that says nothing speaks the first.
+func (n *Net) heed(to string, conn net.Conn, writer *Writer) {
+	defer conn.Close()
+	err := writer.Heed(conn)
+	if err != nil && !errors.Is(err, io.EOF) && !errors.Is(err, net.ErrClosed) && n.context.Err() == nil {
+		n.options.Log.Warn("connection to a peer closed", "peer", to, "reason", err.Error())
+	}
+}
+
 // Send queues a frame for a peer; a full queue drops it, since the protocols repeat.
 func (n *Net) Send(to string, frame *schema.Frame) {
 	n.lock.Lock()
@@ -222,6 +186,7 @@
 	var buffer *bufio.Writer
 	var writer *Writer
 	var failedAt time.Time
+	pause := constants.DialPause
 	dialer := net.Dialer{Timeout: constants.DialWait, LocalAddr: n.local, Control: sockets.Silence(constants.FrameSilence)}
 	defer func() {
 		if conn != nil {
@@ -247,7 +212,7 @@
 			continue
 		}
 		if conn == nil {
-			if time.Since(failedAt) < 100*time.Millisecond {
+			if time.Since(failedAt) < pause {
 				continue
 			}
 			fresh, err := dialer.DialContext(n.context, "tcp", to)
@@ -259,12 +224,9 @@
 				continue
 			}
 			conn, buffer = fresh, bufio.NewWriterSize(fresh, 64<<10)
-			writer = NewWriter(buffer)
-			watched := conn
-			n.tasks.Go(func() {
-				io.Copy(io.Discard, watched)
-				watched.Close()
-			})
+			writer = OpenWriter(buffer, n.options.Speaks.OrOwn())
+			watched, telling := conn, writer
+			n.tasks.Go(func() { n.heed(to, watched, telling) })
 		}
 		conn.SetWriteDeadline(time.Now().Add(constants.FrameStall))
 		err := writer.Write(frame)
@@ -277,6 +239,9 @@
 		if err != nil {
 			conn.Close()
 			conn = nil
+			if pause = constants.DialPause; writer.IsDisjoint() {
+				failedAt, pause = time.Now(), constants.DisjointPause
+			}
 		}
 	}
 }
