--- a/internal/node/native.go
+++ b/internal/node/native.go
@@ -58,7 +58,7 @@
 	fault := ""
 	for number := 0; number < constants.ListPagesMost; number++ {
 		var page roster.RoutedPage
-		if err := turn(ctx, 0); err != nil {
+		if err := turn(ctx, 0, nil); err != nil {
 			fault = err.Error()
 			break
 		}
--- a/internal/node/native_seam_test.go
+++ b/internal/node/native_seam_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"topazshed/internal/keys"
+	"topazshed/internal/roster"
 	"topazshed/internal/settings"
 )
 
@@ -45,7 +46,7 @@
 			}))
 			defer server.Close()
 			seam := NativeSeam(&settings.Settings{Proxy: "127.0.0.1:1", Platform: server.URL, Routes: settings.DefaultRoutes()})
-			items, count, err := seam.List(context.Background(), func(context.Context, int) error { turns++; return nil })
+			items, count, err := seam.List(context.Background(), func(context.Context, int, []roster.Listed) error { turns++; return nil })
 			var partial *PartialListError
 			if (err != nil) != errors.As(err, &partial) || (err != nil) != (c.want != "") || err != nil && (!strings.Contains(err.Error(), c.want) || !strings.Contains(err.Error(), "; mend")) {
 				t.Errorf("%v, want %q", err, c.want)
