The fleet's version is a row that rises once all can read it

Ruled out: a rise at once (the last node's start would forbid going back), by command alone (the users' platform has no door for one), each node by itself (two ways at one index); a row under system/ (version 1 would read it as the system's name) and a prefix of its own (bytes in each subscription).

Change: whole beats and node rows tell spans; the leader proposes the row catalog/head/version once members, table and all that it hears read it, none is silent, ten minutes have passed and nothing is under way in the log. Records that lower it and nodes that don't reach it are void. Who does not speak the fleet's version, or meets an unknown kind of record, sends nothing more and ends with the remedy. Hard state and image carry the version; a newer disk is refused untouched. No constant part of a beat or delta grows.

Tests seen failing with a protection off: nodes always fit (TestAnOldNodeDoesNotJoinARaisedFleet), guard off (that one, TestARiseRacedByAJoin, TestANodeRefusesWhatItDoesNotSpeak), log and pending rise ignored (TestMixedFleetsRiseOnceAllCanRead).

--- a/internal/core/beats.go
+++ b/internal/core/beats.go
@@ -146,6 +146,9 @@
 	if b.Node == nil {
 		return
 	}
+	if b.Node.Address != "" && !c.isFitNode(b.Node) {
+		return
+	}
 	g := c.nodes[b.Node.Id]
 	if g == nil {
 		g = &granted{firstHeard: c.now}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -18,6 +18,7 @@
 	"topazshed/internal/roster"
 	"topazshed/internal/schema"
 	"topazshed/internal/standing"
+	"topazshed/internal/versions"
 )
 
 // Options make a Core. Hard, Image and Items are what the journal held; Draw is the seeded source.
@@ -37,6 +38,10 @@
 	Routed *Routed
 	// Epoch is the time of day at which this node's clock would have stood at 0; records of standing tell by it when they were made.
 	Epoch time.Time
+	// Speaks are the versions that this process speaks; the zero value is the program's own.
+	Speaks versions.Span
+	// RiseAfter is how long all must have read a version before the fleet uses it; 0 is the time of the constants.
+	RiseAfter time.Duration
 }
 
 // Send is a frame for an address.
@@ -189,6 +194,12 @@
 	toldAt     time.Duration
 	routed     *routedState
 	changes    []*schema.StandingChange
+	speaks     versions.Span
+	refused    error
+	risingTo   uint32
+	risingFrom time.Duration
+	proposed   uint32
+	declined   map[string]uint64
 }
 
 // New restores a node from its journal, or makes an empty one.
@@ -197,7 +208,7 @@
 		table: image.NewTable(), view: image.NewView(), rost: roster.New(), beats: map[uint64]time.Duration{}, held: map[string]bool{},
 		wanted: map[string]time.Duration{}, subs: map[uint64]time.Duration{}, subscriber: map[string]*subscriber{}, nodes: map[string]*granted{},
 		releasedAt: map[uint64]time.Duration{}, reads: map[uint64]*waiter{}, seeds: map[string]time.Duration{}, empties: map[string]bool{},
-		peers: map[string]time.Duration{}, pending: map[string]uint64{}, verdicts: map[uint64]string{}, fences: map[string]time.Duration{}, opened: map[string]time.Duration{}, openedAs: map[string]uint64{}, addresses: map[string]string{}, now: now, tickedAt: now}
+		peers: map[string]time.Duration{}, pending: map[string]uint64{}, verdicts: map[uint64]string{}, fences: map[string]time.Duration{}, opened: map[string]time.Duration{}, openedAs: map[string]uint64{}, addresses: map[string]string{}, now: now, tickedAt: now, speaks: options.Speaks.OrOwn(), declined: map[string]uint64{}}
 	if options.Routed != nil {
 		c.routed = newRoutedState(options)
 	}
@@ -209,6 +220,7 @@
 		c.quorum = quorum.New(now, quorum.Options{ID: c.self.Id, Hard: c.restored(options.Hard), Image: options.Image, Items: options.Items, Draw: options.Draw, Whole: c.Whole, Pace: c.routed.quorumPace()})
 		c.view = image.Compile(c.table)
 		c.noteFences(c.table.Rows(image.All))
+		c.guard(c.view.Fleet)
 		c.apply()
 		c.learnMembers()
 	}
@@ -219,6 +231,7 @@
 func (c *Core) Whole() *schema.Image {
 	whole := c.table.Whole()
 	c.quorum.Describe(whole)
+	whole.Version = c.shownFleet()
 	return whole
 }
 
@@ -313,6 +326,9 @@
 // Receive takes a frame from another node.
 func (c *Core) Receive(now time.Duration, f *schema.Frame) {
 	c.now = now
+	if c.refused != nil {
+		return
+	}
 	if f.System != "" && c.system != "" && f.System != c.system {
 		c.log.Warn("frame of another system declined", "from", f.From, "system", f.System)
 		return
@@ -343,8 +359,11 @@
 	case *schema.Frame_Who:
 		c.near.Learn(body.Who.Node)
 		c.send(f.Address, &schema.Frame{Body: &schema.Frame_WhoOutcome{WhoOutcome: &schema.WhoOutcome{System: c.system, Leader: c.leader,
-			Nodes: c.introduce(body.Who.Node), Founding: c.options.Restart, Disk: c.self.Disk, Founder: c.nominate()}}})
+			Nodes: c.introduce(body.Who.Node), Founding: c.options.Restart, Disk: c.self.Disk, Founder: c.nominate(), FleetVersion: c.shownFleet()}}})
 	case *schema.Frame_WhoOutcome:
+		if c.guard(body.WhoOutcome.FleetVersion) != nil {
+			return
+		}
 		c.near.Learn(body.WhoOutcome.Nodes...)
 		c.seeds[f.Address] = now
 		c.empties[f.Address] = body.WhoOutcome.System == ""
@@ -425,6 +444,9 @@
 // Tick tells the time; the shell calls it every constants.Tick, in a routed fleet every constants.RoutedTick.
 func (c *Core) Tick(now time.Duration) {
 	c.now = now
+	if c.refused != nil {
+		return
+	}
 	if now-c.tickedAt > time.Second {
 		c.thawedAt = now
 		c.log.Warn("this process stood still and refreshes before it serves", "milliseconds", (now - c.tickedAt).Milliseconds())
@@ -511,7 +533,7 @@
 	c.serial++
 	c.beats[c.serial] = c.now
 	delete(c.beats, c.serial-64)
-	b := &schema.Beat{Node: c.near.Self(), Version: c.table.Version(), Vitals: c.vitals, Suspects: c.near.Suspects(), Serial: c.serial, Keepers: c.keepers, KeeperReady: c.isKeeping, Floor: c.floor}
+	b := &schema.Beat{Node: c.spoken(c.near.Self()), Version: c.table.Version(), Vitals: c.vitals, Suspects: c.near.Suspects(), Serial: c.serial, Keepers: c.keepers, KeeperReady: c.isKeeping, Floor: c.floor}
 	if c.routed != nil {
 		b.Heat = c.routed.takeHeat(c.now)
 		if vitals := c.routed.options.Vitals; vitals != nil {
@@ -551,7 +573,7 @@
 
 func (c *Core) takeBeat(f *schema.Frame, b *schema.Beat) {
 	outcome := &schema.BeatOutcome{Leader: c.leader, Serial: b.Serial, Version: c.table.Version()}
-	isLeader := c.IsLeading()
+	isLeader := c.IsLeading() && c.isFitNode(b.Node)
 	if isLeader {
 		outcome.Leader, outcome.Accepted = c.self.Address, true
 		g := c.nodes[b.Node.Id]
@@ -761,6 +783,9 @@
 		return
 	}
 	c.view = c.view.With(c.table, changed)
+	if c.guard(c.view.Fleet) != nil {
+		return
+	}
 	if slices.ContainsFunc(changed, func(row *schema.Row) bool {
 		return row.Key == image.HeadKey || strings.HasPrefix(row.Key, "district/")
 	}) {
@@ -845,6 +870,9 @@
 
 // Take gives the effects that are due.
 func (c *Core) Take() Effects {
+	if c.refused != nil {
+		return Effects{}
+	}
 	effects := c.effects
 	c.effects = Effects{}
 	if c.quorum != nil && c.system != "" {
@@ -857,7 +885,7 @@
 		}
 		if effects.Quorum.Hard != nil {
 			effects.Hard = proto.Clone(effects.Quorum.Hard).(*schema.HardState)
-			effects.Hard.Id, effects.Hard.System = c.self.Id, c.system
+			effects.Hard.Id, effects.Hard.System, effects.Hard.Version = c.self.Id, c.system, c.shownFleet()
 		}
 	}
 	effects.IsWork = effects.Hard != nil || len(effects.Quorum.Items) > 0 || effects.Quorum.Image != nil || len(effects.Sends) > 0 || len(effects.Outcomes) > 0 || len(effects.Calls) > 0 ||
@@ -872,6 +900,9 @@
 		c.refresh()
 		c.spread()
 	}
+	if c.refused != nil {
+		return Effects{}
+	}
 	effects := Effects{Sends: c.effects.Sends, Outcomes: c.effects.Outcomes, Calls: c.effects.Calls}
 	c.effects = Effects{}
 	return effects
@@ -912,6 +943,9 @@
 		c.fences = map[string]time.Duration{}
 		c.noteFences(effects.Quorum.Image.Rows)
 		c.imageAt = effects.Quorum.Image.Index
+		if c.guard(c.view.Fleet) != nil {
+			return
+		}
 	}
 	c.quorum.Synced(now, effects.Quorum)
 	defer c.refresh()
@@ -943,6 +977,14 @@
 func (c *Core) apply() {
 	var changed []*schema.Row
 	for _, item := range c.quorum.Committed() {
+		if c.refused == nil {
+			if _, isKnown := schema.RecordKind_name[int32(item.Record.GetKind())]; !isKnown {
+				c.refuse(&versions.KindError{Kind: int32(item.Record.GetKind()), Index: item.Index})
+			}
+		}
+		if c.refused != nil {
+			return
+		}
 		before := c.numbersOf(item.Record)
 		rows, err := c.table.Apply(item.Index, item.Record, standing.Check)
 		if err != nil {
--- a/internal/core/driver.go
+++ b/internal/core/driver.go
@@ -37,6 +37,9 @@
 		}
 		d.finish(effects)
 	}
+	if d.failed == nil {
+		d.failed = d.Core.Refused()
+	}
 	if d.failed != nil {
 		return d.failed
 	}
--- a/internal/core/lead.go
+++ b/internal/core/lead.go
@@ -45,6 +45,7 @@
 	c.planAt = c.now
 	c.planMembers()
 	c.planNodes()
+	c.planVersion()
 	if c.routed == nil && c.now-c.electedAt < constants.StandingSettle && len(c.view.Services) > 0 {
 		return
 	}
@@ -170,7 +171,7 @@
 	for _, id := range slices.Sorted(maps.Keys(c.nodes)) {
 		g := c.nodes[id]
 		row := c.view.Nodes[id]
-		if c.now-g.heard > constants.NodeLostAfter {
+		if c.now-g.heard > constants.NodeLostAfter || !c.isFitNode(g.node) {
 			continue
 		}
 		if region, isKnown := districts[g.node.District]; isKnown && region != g.node.Region {
@@ -182,7 +183,7 @@
 			continue
 		}
 		fresh := proto.Clone(g.node).(*schema.Node)
-		if row == nil || row.State != fresh.State || row.Address != fresh.Address || row.Proxy != fresh.Proxy || row.Door != fresh.Door || row.Incarnation < fresh.Incarnation {
+		if row == nil || row.State != fresh.State || row.Address != fresh.Address || row.Proxy != fresh.Proxy || row.Door != fresh.Door || row.SpeaksLow != fresh.SpeaksLow || row.SpeaksHigh != fresh.SpeaksHigh || row.Incarnation < fresh.Incarnation {
 			put(image.NodeKey(id), image.Put(image.NodeKey(id), fresh))
 		}
 	}
@@ -274,7 +275,7 @@
 	}
 	for _, id := range slices.Sorted(maps.Keys(c.nodes)) {
 		g := c.nodes[id]
-		if !g.node.Disk || c.now-g.heard > constants.NodeLostAfter || g.node.State == schema.NodeState_NODE_STOPPING {
+		if !c.isFitNode(g.node) || !g.node.Disk || c.now-g.heard > constants.NodeLostAfter || g.node.State == schema.NodeState_NODE_STOPPING {
 			continue
 		}
 		if i := at(members.Voters, id); i >= 0 {
--- /dev/null
+++ b/internal/core/version.go
@@ -0,0 +1,114 @@
+package core
+
+import (
+	"maps"
+	"slices"
+
+	"topazshed/internal/constants"
+	"topazshed/internal/image"
+	"topazshed/internal/schema"
+	"topazshed/internal/versions"
+)
+
+// Refused is why this node takes no part any more: the fleet uses what it does not speak, or the log holds what it does not know.
+func (c *Core) Refused() error { return c.refused }
+
+func (c *Core) refuse(err error) {
+	if c.refused == nil {
+		c.refused = err
+		c.log.Error("this node takes no part", "reason", err.Error())
+	}
+}
+
+func (c *Core) guard(fleet uint32) error {
+	if err := versions.CheckFleet(c.speaks, fleet); err != nil {
+		c.refuse(err)
+	}
+	return c.refused
+}
+
+// shownFleet is the fleet's version as it is told: the first one is left out.
+func (c *Core) shownFleet() uint32 {
+	if c.view.Fleet == versions.First {
+		return 0
+	}
+	return c.view.Fleet
+}
+
+func (c *Core) spoken(node *schema.Node) *schema.Node {
+	node.SpeaksLow, node.SpeaksHigh = c.speaks.Wire()
+	return node
+}
+
+// isFitNode tells whether a node speaks what the fleet uses, or is about to use.
+func (c *Core) isFitNode(node *schema.Node) bool {
+	fleet := c.view.Fleet
+	if c.pending[image.VersionKey] > c.table.Version() {
+		fleet = max(fleet, c.proposed)
+	}
+	span, err := versions.Told(node.GetSpeaksLow(), node.GetSpeaksHigh())
+	if err == nil {
+		err = versions.CheckFleet(span, fleet)
+	}
+	if err != nil && c.declined[node.GetId()] != node.GetIncarnation() {
+		c.declined[node.GetId()] = node.GetIncarnation()
+		c.log.Error("node is declined", "node", node.GetId(), "reason", err.Error())
+	}
+	return err == nil
+}
+
+// readers are all who must read what the fleet uses: members of the log, nodes of the table, and nodes heard of that are not in it yet.
+func (c *Core) readers() []versions.Reader {
+	isVoter := map[string]bool{}
+	known := map[string]bool{}
+	for _, m := range slices.Concat(c.quorum.Members().Voters, c.quorum.Members().Learners) {
+		isVoter[m.Id], known[m.Id] = true, true
+	}
+	for id := range c.view.Nodes {
+		known[id] = true
+	}
+	for id, g := range c.nodes {
+		if c.now-g.heard <= constants.NodeLostAfter {
+			known[id] = true
+		}
+	}
+	var readers []versions.Reader
+	for _, id := range slices.Sorted(maps.Keys(known)) {
+		r := versions.Reader{ID: id, Span: versions.Span{Low: versions.First, High: versions.First}, IsVoter: isVoter[id]}
+		row, g := c.view.Nodes[id], c.nodes[id]
+		if row != nil && g != nil {
+			span, err := versions.Told(row.SpeaksLow, row.SpeaksHigh)
+			isSame := g.node.GetSpeaksLow() == row.SpeaksLow && g.node.GetSpeaksHigh() == row.SpeaksHigh
+			r.IsHeard = err == nil && isSame && c.now-g.heard <= constants.NodeLostAfter
+			if err == nil {
+				r.Span = span
+			}
+		}
+		readers = append(readers, r)
+	}
+	return readers
+}
+
+// planVersion lets the fleet rise once all have been able to read a version for long enough. Nothing may be under way in the log, so that
+// nobody joins between the decision and the record.
+func (c *Core) planVersion() {
+	next, _ := versions.Rise(c.view.Fleet, c.speaks, c.readers())
+	if next != c.risingTo || next == c.view.Fleet {
+		c.risingTo, c.risingFrom = next, c.now
+		return
+	}
+	after := c.options.RiseAfter
+	if after == 0 {
+		after = constants.FleetRiseAfter
+	}
+	if c.now-c.risingFrom < after || c.table.Version() < c.quorum.Last() {
+		return
+	}
+	record := &schema.Record{Kind: schema.RecordKind_RECORD_ROWS, Reason: "the fleet's version rises",
+		Guards: []*schema.Guard{{Key: image.VersionKey, Index: c.table.Get(image.VersionKey).GetIndex()}},
+		Rows:   []*schema.Row{image.Put(image.VersionKey, &schema.FleetVersion{Version: next})}}
+	if c.propose(record) {
+		c.proposed = next
+		c.log.Info("the fleet's version rises", "version", next)
+	}
+}
--- /dev/null
+++ b/internal/core/version_test.go
@@ -0,0 +1,198 @@
+package core
+
+import (
+	"errors"
+	"io"
+	"log/slog"
+	"math/rand"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"topazshed/internal/image"
+	"topazshed/internal/schema"
+	"topazshed/internal/versions"
+)
+
+type mixedWorld struct {
+	cores  map[string]*Core
+	names  []string
+	cut    map[string]bool
+	now    time.Duration
+	random *rand.Rand
+}
+
+func (w *mixedWorld) add(name string, speaks versions.Span) {
+	self := &schema.Node{Id: "id-" + name, Address: name, Proxy: name, Door: name, District: "z", Region: "r", Disk: name <= "c", Incarnation: 1, State: schema.NodeState_NODE_READY}
+	w.cores[name] = New(w.now, Options{Self: self, Seeds: []string{"a", "b", "c"}, Draw: w.random.Int63n, Log: slog.New(slog.NewTextHandler(io.Discard, nil)), Speaks: speaks, RiseAfter: 4 * time.Second,
+		Routed: &Routed{HoldMost: 10 * time.Second, ColdBearable: func(*schema.ServicePolicy) int { return 1 }}})
+	w.names = append(w.names, name)
+}
+
+func (w *mixedWorld) run(t *testing.T, span time.Duration) {
+	for until := w.now + span; w.now < until; w.now += 20 * time.Millisecond {
+		for _, name := range w.names {
+			if w.cut[name] {
+				continue
+			}
+			core := w.cores[name]
+			core.Tick(w.now)
+			for range 8 {
+				effects := core.Take()
+				if !effects.IsWork {
+					break
+				}
+				core.Synced(w.now, effects)
+				for _, s := range effects.Sends {
+					if to := w.cores[s.To]; to != nil && !w.cut[s.To] {
+						to.Receive(w.now, s.Frame)
+					}
+				}
+			}
+			for id, node := range core.view.Nodes {
+				if span, err := versions.Told(node.SpeaksLow, node.SpeaksHigh); err != nil || !span.Has(core.view.Fleet) {
+					t.Fatalf("%s: the fleet uses %d and node %s speaks %v", name, core.view.Fleet, id, span)
+				}
+			}
+		}
+	}
+}
+
+func newMixedWorld(speaks map[string]versions.Span) *mixedWorld {
+	w := &mixedWorld{cores: map[string]*Core{}, cut: map[string]bool{}, now: time.Hour, random: rand.New(rand.NewSource(1))}
+	for _, name := range []string{"a", "b", "c", "d", "e"} {
+		w.add(name, speaks[name])
+	}
+	return w
+}
+
+func TestMixedFleetsRiseOnceAllCanRead(t *testing.T) {
+	old, next := versions.Span{Low: 1, High: 1}, versions.Span{Low: 1, High: 3}
+	for _, c := range []struct {
+		name   string
+		speaks map[string]versions.Span
+		silent string
+		want   uint32
+	}{
+		{"all new", nil, "", 2},
+		{"all old", map[string]versions.Span{"a": old, "b": old, "c": old, "d": old, "e": old}, "", 1},
+		{"half-way: an old node without a disk", map[string]versions.Span{"e": old}, "", 1},
+		{"half-way: an old voter", map[string]versions.Span{"c": old}, "", 1},
+		{"the founder and leader old, the voters new", map[string]versions.Span{"a": old}, "", 1},
+		{"the leader new, the voters old", map[string]versions.Span{"b": old, "c": old}, "", 1},
+		{"some are further: the highest that all read", map[string]versions.Span{"a": next, "d": next}, "", 2},
+		{"a silent voter holds it back", nil, "c", 1},
+		{"all further", map[string]versions.Span{"a": next, "b": next, "c": next, "d": next, "e": next}, "", 3},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			w := newMixedWorld(c.speaks)
+			w.run(t, 3500*time.Millisecond)
+			w.cut[c.silent] = true
+			w.run(t, 16500*time.Millisecond)
+			for name, core := range w.cores {
+				if w.cut[name] {
+					continue
+				}
+				if core.view.Fleet != c.want || core.refused != nil || len(core.view.Nodes) != 5 {
+					t.Errorf("%s: the fleet uses %d, %d nodes known, refused %v", name, core.view.Fleet, len(core.view.Nodes), core.refused)
+				}
+				if voters := core.quorum; voters != nil && c.silent == "" && len(voters.Members().Voters) != 3 {
+					t.Errorf("%s: %d voters", name, len(voters.Members().Voters))
+				}
+			}
+		})
+	}
+}
+
+func TestAnOldNodeDoesNotJoinARaisedFleet(t *testing.T) {
+	old := versions.Span{Low: 1, High: 1}
+	w := newMixedWorld(nil)
+	w.run(t, 20*time.Second)
+	w.add("b2", old)
+	w.add("f", old)
+	w.run(t, 5*time.Second)
+	for _, name := range []string{"b2", "f"} {
+		var fleet *versions.FleetError
+		if err := w.cores[name].Refused(); !errors.As(err, &fleet) || fleet.Fleet != 2 {
+			t.Errorf("%s: refused with %v", name, err)
+		}
+		if effects := w.cores[name].Take(); effects.IsWork {
+			t.Errorf("%s still works: %v", name, effects)
+		}
+	}
+	landed := &schema.Beat{Serial: 1, Node: &schema.Node{Id: "id-g", Address: "g", Proxy: "g", Door: "g", District: "z", Region: "r", Disk: true, Incarnation: 1, State: schema.NodeState_NODE_READY}}
+	for range 20 {
+		for _, name := range []string{"a", "b", "c"} {
+			core := w.cores[name]
+			core.Receive(w.now, &schema.Frame{System: core.system, From: "id-g", Address: "g", Body: &schema.Frame_Beat{Beat: landed}})
+		}
+		w.run(t, 400*time.Millisecond)
+	}
+	for name, core := range w.cores {
+		if len(core.view.Nodes) != 5 && core.refused == nil {
+			t.Errorf("%s knows %d nodes", name, len(core.view.Nodes))
+		}
+		if core.quorum != nil && slices.ContainsFunc(slices.Concat(core.quorum.Members().Voters, core.quorum.Members().Learners), func(m *schema.Member) bool { return m.Id == "id-g" || m.Id == "id-b2" }) {
+			t.Errorf("%s has an old member", name)
+		}
+	}
+}
+
+func TestARiseRacedByAJoin(t *testing.T) {
+	joined, declined := 0, 0
+	for offset := time.Duration(0); offset < 2*time.Second; offset += 100 * time.Millisecond {
+		w := newMixedWorld(nil)
+		w.run(t, 5*time.Second+offset)
+		w.add("f", versions.Span{Low: 1, High: 1})
+		w.run(t, 10*time.Second)
+		isIn := w.cores["a"].view.Nodes["id-f"] != nil
+		fleet := w.cores["a"].view.Fleet
+		if isIn {
+			joined++
+		} else {
+			declined++
+		}
+		if isIn != (w.cores["f"].refused == nil) || isIn != (fleet == 1) {
+			t.Errorf("joined after %v: in the table %v, refused %v, fleet at %d", offset, isIn, w.cores["f"].refused, fleet)
+		}
+	}
+	if joined == 0 || declined == 0 {
+		t.Errorf("%d joined before the rise and %d came after it; the offsets don't span it", joined, declined)
+	}
+}
+
+func TestANodeRefusesWhatItDoesNotSpeak(t *testing.T) {
+	rows := func(version uint32) []*schema.Row {
+		return []*schema.Row{{Key: image.VersionKey, Value: image.Put(image.VersionKey, &schema.FleetVersion{Version: version}).Value, Index: 3}}
+	}
+	members := &schema.Members{Voters: []*schema.Member{{Id: "n", Address: "n"}}}
+	for _, c := range []struct {
+		name  string
+		image *schema.Image
+		items []*schema.LogItem
+		want  string
+	}{
+		{"its own version", &schema.Image{Index: 3, Term: 1, Members: members, Rows: rows(2)}, nil, ""},
+		{"a newer image", &schema.Image{Index: 3, Term: 1, Members: members, Rows: rows(3)}, nil, "version 3"},
+		{"a newer record in the log", &schema.Image{Index: 3, Term: 1, Members: members}, []*schema.LogItem{{Index: 4, Term: 1, Record: &schema.Record{Kind: schema.RecordKind_RECORD_ROWS, Rows: rows(3)}}}, "version 3"},
+		{"a kind of record that it doesn't know", &schema.Image{Index: 3, Term: 1, Members: members}, []*schema.LogItem{{Index: 4, Term: 1, Record: &schema.Record{Kind: 77}}}, "unknown kind 77"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			core := New(time.Hour, Options{Self: &schema.Node{Id: "n", Address: "n", District: "z", Region: "r", Disk: true}, Seeds: []string{"n"}, System: "x", Draw: func(int64) int64 { return 0 },
+				Log: slog.New(slog.NewTextHandler(io.Discard, nil)), Routed: &Routed{HoldMost: time.Second, ColdBearable: func(*schema.ServicePolicy) int { return 1 }},
+				Hard: &schema.HardState{Term: 1, Id: "n", System: "x", Commit: 4}, Image: c.image, Items: c.items, Restart: true})
+			for now := time.Hour; now < time.Hour+5*time.Second; now += 20 * time.Millisecond {
+				core.Tick(now)
+				effects := core.Take()
+				if c.want != "" && effects.IsWork {
+					t.Fatalf("a refused node works: %v", effects)
+				}
+				core.Synced(now, effects)
+			}
+			if err := core.Refused(); (err == nil) != (c.want == "") || err != nil && !strings.Contains(err.Error(), c.want) {
+				t.Errorf("refused with %v, want %q", err, c.want)
+			}
+		})
+	}
+}
--- a/internal/image/table.go
+++ b/internal/image/table.go
@@ -62,6 +62,8 @@
 	DocumentKey = "catalog/document"
 	SystemKey   = "system"
 	LimitsKey   = "limits"
+	// VersionKey is the version that the fleet uses. It lies in a slice that every node holds and in which version 1 passes over it.
+	VersionKey = "catalog/head/version"
 )
 
 // Put makes a row of a message.
--- a/internal/image/view.go
+++ b/internal/image/view.go
@@ -7,6 +7,7 @@
 	"strings"
 
 	"topazshed/internal/schema"
+	"topazshed/internal/versions"
 )
 
 // Service is the compiled slice of one service; it is never changed once published.
@@ -54,6 +55,8 @@
 	Hosts     map[string][]*schema.Route
 	Limits    *schema.Limits
 	Defaults  map[string]*schema.Standing
+	// Fleet is the version that the fleet uses.
+	Fleet uint32
 }
 
 // Route matches a host and path to the route with the longest fitting prefix, or nil.
@@ -70,7 +73,7 @@
 func NewView() *View {
 	return &View{Head: &schema.CatalogHead{}, Nodes: map[string]*schema.Node{}, Regions: map[string]*schema.Region{},
 		Districts: map[string]*schema.District{}, Keepers: map[string]*schema.Keepers{}, Services: map[string]*Service{},
-		Groups: map[string]*schema.Group{}, Hosts: map[string][]*schema.Route{}, Limits: &schema.Limits{}, Defaults: map[string]*schema.Standing{}}
+		Groups: map[string]*schema.Group{}, Hosts: map[string][]*schema.Route{}, Limits: &schema.Limits{}, Defaults: map[string]*schema.Standing{}, Fleet: versions.First}
 }
 
 // Entry matches a path to the service's entry with the longest fitting path.
@@ -128,6 +131,9 @@
 		case "system":
 			fresh.System = string(row.Value)
 		case "catalog":
+			if row.Key == VersionKey {
+				fresh.Fleet = versions.InUse(Decode[schema.FleetVersion](row).GetVersion())
+			}
 			if row.Key == HeadKey {
 				if head := Decode[schema.CatalogHead](row); head != nil {
 					fresh.Head = head
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -15,6 +15,7 @@
 
 	"topazshed/internal/constants"
 	"topazshed/internal/schema"
+	"topazshed/internal/versions"
 )
 
 // Area is one preallocated file.
@@ -35,11 +36,13 @@
 	Files      int
 	FileBytes  int64
 	ImageBytes int64
+	// Speaks are the versions whose disks are read; the zero value is the program's own.
+	Speaks versions.Span
 }
 
 // DefaultOptions are the sizes in the constants.
 func DefaultOptions() Options {
-	return Options{constants.JournalFiles, constants.JournalFileBytes, constants.ImageFileBytes}
+	return Options{Files: constants.JournalFiles, FileBytes: constants.JournalFileBytes, ImageBytes: constants.ImageFileBytes}
 }
 
 // Sized are sizes that fit a disk of so many bytes with room to spare; 0 is no bound.
@@ -126,6 +129,7 @@
 	fileHead    = 24
 	imageHead   = 32
 	recordGuard = 0x7a5d
+	magicFamily = 0x7a5d
 )
 
 var table = crc32.MakeTable(crc32.Castagnoli)
@@ -171,6 +175,15 @@
 		}
 		j.images[i] = area
 		image, serial, err := readImage(area)
+		var newer *versions.DiskError
+		if errors.As(err, &newer) {
+			return nil, nil, newer
+		}
+		if err == nil {
+			if err := versions.CheckDisk(options.Speaks.OrOwn(), "an image", image.GetVersion()); err != nil {
+				return nil, nil, err
+			}
+		}
 		if err != nil {
 			imageFaults++
 			continue
@@ -187,6 +200,9 @@
 	if err := j.readRing(state); err != nil {
 		return nil, nil, err
 	}
+	if err := versions.CheckDisk(options.Speaks.OrOwn(), "the journal", state.Hard.Version); err != nil {
+		return nil, nil, err
+	}
 	if len(state.Items) > 0 && state.Items[0].Index > j.imageIndex+1 {
 		return nil, nil, &CorruptError{"image", 0}
 	}
@@ -213,6 +229,9 @@
 	}
 	size := binary.BigEndian.Uint64(head[8:])
 	isPacked := binary.BigEndian.Uint32(head) == packedMagic
+	if binary.BigEndian.Uint16(head) == magicFamily && binary.BigEndian.Uint16(head[2:]) > packedMagic&0xffff {
+		return nil, 0, &versions.DiskError{What: "an image", Own: versions.Own}
+	}
 	if !isPacked && binary.BigEndian.Uint32(head) != imageMagic || int64(size) > area.Size()-imageHead {
 		return nil, 0, &CorruptError{"image", 0}
 	}
@@ -292,7 +311,10 @@
 			}
 			isFirst = false
 			last = serial
-			if err := it.file.take(state, kind, payload); err != nil {
+			var newer *versions.DiskError
+			if err := it.file.take(state, kind, payload); errors.As(err, &newer) {
+				return newer
+			} else if err != nil {
 				return &CorruptError{it.file.name, at}
 			}
 			at += size
@@ -354,6 +376,8 @@
 		}
 		state.Items = append(state.Items, item)
 		f.lastIndex = max(f.lastIndex, item.Index)
+	default:
+		return &versions.DiskError{What: "a record of the journal", Own: versions.Own}
 	}
 	return nil
 }
--- /dev/null
+++ b/internal/journal/version_test.go
@@ -0,0 +1,61 @@
+package journal_test
+
+import (
+	"encoding/binary"
+	"errors"
+	"testing"
+
+	"topazshed/internal/journal"
+	"topazshed/internal/schema"
+	"topazshed/internal/sim"
+	"topazshed/internal/versions"
+)
+
+func TestADiskOfANewerVersionIsRefusedUntouched(t *testing.T) {
+	image := func(version uint32) *schema.Image {
+		return &schema.Image{Index: 1, Term: 1, Members: &schema.Members{}, Version: version}
+	}
+	for _, c := range []struct {
+		name  string
+		hard  uint32
+		image *schema.Image
+		spoil func(*sim.Disk)
+		isNew bool
+	}{
+		{"of version 1, which tells none", 0, image(0), nil, false},
+		{"of the newest that is read", 2, image(2), nil, false},
+		{"the hard state is newer", 3, nil, nil, true},
+		{"the image is newer", 0, image(3), nil, true},
+		{"an image of an unknown format", 0, image(0), func(disk *sim.Disk) {
+			area, _ := disk.Area("image-0", sizes.ImageBytes)
+			area.WriteAt(binary.BigEndian.AppendUint32(nil, 0x7a5d0009), 0)
+			area.Sync()
+		}, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			disk := sim.NewDisk()
+			j, _, err := journal.Open(disk, sizes)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if c.image != nil {
+				if err := j.PutImage(c.image); err != nil {
+					t.Fatal(err)
+				}
+			}
+			if err := j.Append(&schema.HardState{Term: 1, Id: "n", Version: c.hard}, nil); err != nil {
+				t.Fatal(err)
+			}
+			if c.spoil != nil {
+				c.spoil(disk)
+			}
+			for range 2 {
+				_, state, err := journal.Open(disk, sizes)
+				var newer *versions.DiskError
+				if errors.As(err, &newer) != c.isNew || (err == nil) == c.isNew {
+					t.Fatalf("opened as %v, %v", state, err)
+				}
+			}
+		})
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -142,6 +142,9 @@
 	}
 	n.log = n.log.With("node", n.self.Id)
 	n.core = core.New(n.Now(), options)
+	if err := n.core.Refused(); err != nil {
+		return err
+	}
 	if n.seam != nil {
 		return n.startRouted()
 	}
@@ -310,7 +313,11 @@
 			}
 		}
 		if err := driver.Perform(); err != nil {
-			n.log.Error("the disk failed; this process ends so that it can't say yes to what it hasn't kept", "reason", err.Error())
+			reason := "the disk failed; this process ends so that it can't say yes to what it hasn't kept"
+			if n.core.Refused() != nil {
+				reason = "this process ends because it can't speak with its fleet"
+			}
+			n.log.Error(reason, "reason", err.Error())
 			select {
 			case n.fatal <- err:
 			default:
--- a/internal/sim/sim.go
+++ b/internal/sim/sim.go
@@ -4,6 +4,7 @@
 import (
 	"container/heap"
 	"crypto/sha256"
+	"errors"
 	"fmt"
 	"io"
 	"log/slog"
@@ -26,6 +27,7 @@
 	"topazshed/internal/roster"
 	"topazshed/internal/schema"
 	"topazshed/internal/standing"
+	"topazshed/internal/versions"
 )
 
 // Options shape a simulated fleet.
@@ -239,6 +241,12 @@
 	if n.HasDisk {
 		sizes := journal.Options{Files: 4, FileBytes: 128 << 10, ImageBytes: 512 << 10}
 		opened, state, err := journal.Open(n.disk, sizes)
+		var newer *versions.DiskError
+		if errors.As(err, &newer) {
+			f.Counts["disk of a newer version"]++
+			n.IsUp = false
+			return
+		}
 		if err != nil {
 			f.Counts["identity given up"]++
 			n.disk = NewDisk()
--- a/internal/standing/standing.go
+++ b/internal/standing/standing.go
@@ -191,6 +191,9 @@
 	if isPlace, err := checkPlace(table, row); isPlace {
 		return err
 	}
+	if isVersion, err := checkVersion(table, row); isVersion {
+		return err
+	}
 	old := table.Get(row.Key)
 	var was, is uint64
 	switch {
