--- a/internal/sim/routed_scale.go
+++ b/internal/sim/routed_scale.go
@@ -1,6 +1,7 @@
 package sim
 
 import (
+	"bytes"
 	"cmp"
 	"container/heap"
 	"crypto/sha256"
@@ -18,6 +19,7 @@
 
 	"topazshed/internal/constants"
 	"topazshed/internal/core"
+	"topazshed/internal/frame"
 	"topazshed/internal/gateway"
 	"topazshed/internal/journal"
 	"topazshed/internal/keys"
@@ -172,19 +174,34 @@
 
 type hollowNode struct {
 	hollowCounts
-	at       int
-	self     *schema.Node
-	core     *core.Core
-	driver   *core.Driver
-	disk     *hollowDisk
-	random   *rand.Rand
-	offset   time.Duration
-	head     uint64
-	version  uint64
-	lastFrom map[int]time.Duration
-	isTimed  bool
-	isDue    bool
-	lookAt   time.Duration
+	at      int
+	self    *schema.Node
+	core    *core.Core
+	driver  *core.Driver
+	disk    *hollowDisk
+	random  *rand.Rand
+	offset  time.Duration
+	head    uint64
+	version uint64
+	links   map[int]*hollowLink
+	isTimed bool
+	isDue   bool
+	lookAt  time.Duration
+}
+
+// hollowLink is the connection that one node has opened to another, with what is on its way.
+type hollowLink struct {
+	sent     bytes.Buffer
+	arrived  bytes.Buffer
+	writer   *frame.Writer
+	reader   *frame.Reader
+	arrivals time.Duration
+}
+
+func newHollowLink() *hollowLink {
+	l := &hollowLink{}
+	l.writer, l.reader = frame.NewWriter(&l.sent), frame.NewReader(&l.arrived)
+	return l
 }
 
 type hollowFleet struct {
@@ -300,36 +317,40 @@
 	return time.Duration(20+7*((a.at%f.options.Regions+b.at%f.options.Regions)%3)) * time.Millisecond
 }
 
-func (f *hollowFleet) send(n *hollowNode, to string, frame *schema.Frame) {
+func (f *hollowFleet) send(n *hollowNode, to string, sent *schema.Frame) {
 	at, isThere := f.at[to]
 	if !isThere {
 		return
 	}
 	target := f.nodes[at]
-	text, err := proto.Marshal(frame)
-	if err != nil || len(text) > constants.FrameLimit {
+	link := target.links[n.at]
+	if link == nil {
+		link = newHollowLink()
+		target.links[n.at] = link
+	}
+	if err := link.writer.Write(sent); err != nil {
 		f.oversize++
 		return
 	}
-	size := len(text) + 4
-	n.framesOut, n.bytesOut = n.framesOut+1, n.bytesOut+size
+	text := bytes.Clone(link.sent.Bytes())
+	link.sent = bytes.Buffer{}
+	n.framesOut, n.bytesOut = n.framesOut+1, n.bytesOut+len(text)
 	if n.self.Region != target.self.Region {
-		n.farBytes += size
-	}
-	f.kinds[strings.TrimPrefix(fmt.Sprintf("%T", frame.Body), "*schema.Frame_")] += size
-	arrival := max(f.now+f.delay(n, target), target.lastFrom[n.at])
-	target.lastFrom[n.at] = arrival
-	f.after(arrival-f.now, func() {
-		if target.core == nil {
+		n.farBytes += len(text)
+	}
+	f.kinds[strings.TrimPrefix(fmt.Sprintf("%T", sent.Body), "*schema.Frame_")] += len(text)
+	link.arrivals = max(f.now+f.delay(n, target), link.arrivals)
+	f.after(link.arrivals-f.now, func() {
+		link.arrived.Write(text)
+		taken, err := link.reader.Read()
+		link.arrived = bytes.Buffer{}
+		if err != nil || target.core == nil {
 			return
 		}
-		target.framesIn, target.bytesIn = target.framesIn+1, target.bytesIn+size
+		target.framesIn, target.bytesIn = target.framesIn+1, target.bytesIn+len(text)
 		f.step(target, func() {
-			taken := &schema.Frame{}
-			if proto.Unmarshal(text, taken) == nil {
-				target.isDue = target.isDue || len(taken.GetDelta().GetRows()) > 0
-				target.core.Receive(f.clock(target), taken)
-			}
+			target.isDue = target.isDue || len(taken.GetDelta().GetRows()) > 0
+			target.core.Receive(f.clock(target), taken)
 		})
 	})
 }
@@ -531,7 +552,7 @@
 	for i := range o.Nodes {
 		zone := i % result.Zones
 		region := zone % o.Regions
-		n := &hollowNode{at: i, lastFrom: map[int]time.Duration{}, random: rand.New(rand.NewSource(f.random.Int63()))}
+		n := &hollowNode{at: i, links: map[int]*hollowLink{}, random: rand.New(rand.NewSource(f.random.Int63()))}
 		address := fmt.Sprintf("10.%d.%d.%d:7001", region, i/250, i%250)
 		n.self = &schema.Node{Id: fmt.Sprintf("%012x", f.random.Int63()&0xffffffffffff), Address: address, Proxy: strings.Replace(address, ":7001", ":7002", 1), Door: strings.Replace(address, ":7001", ":7003", 1),
 			District: fmt.Sprintf("region%02d-zone%d", region, zone/o.Regions), Region: fmt.Sprintf("region%02d", region), Incarnation: 1, State: schema.NodeState_NODE_READY}
