topazshed rollout status tells whether the next machine may be upgraded

Status carries the fleet's version, the newest that the program speaks and each node's span; rollout reads them off one door and names every reason to wait: leader, voters left, machines away, silent or learning, configurations not in force, emptied districts, keys that move. Ruled out: a call of its own at the door; the leader's word is in status.

--- a/cmd/topazshed/main.go
+++ b/cmd/topazshed/main.go
@@ -24,6 +24,7 @@
 	subcommands.Register(&districtCommand{}, "operators")
 	subcommands.Register(&statusCommand{}, "operators")
 	subcommands.Register(&doctorCommand{}, "operators")
+	subcommands.Register(&rolloutCommand{}, "operators")
 	subcommands.Register(&versionCommand{}, "")
 	flag.Parse()
 	os.Exit(int(subcommands.Execute(context.Background())))
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -19,6 +19,7 @@
 	"topazshed/internal/routes"
 	"topazshed/internal/schema"
 	"topazshed/internal/standing"
+	"topazshed/internal/versions"
 )
 
 // Options make a Door.
@@ -84,6 +85,9 @@
 	Region   string `json:"region"`
 	Disk     bool   `json:"disk"`
 	State    string `json:"state"`
+	// SpeaksLow and SpeaksHigh are the versions that the node told.
+	SpeaksLow  uint32 `json:"speaks_low"`
+	SpeaksHigh uint32 `json:"speaks_high"`
 	// Index, HeardMs and InForce are the leader's word: the image that the node had, how long ago it told, and whether the newest configuration is in force there. HeardMs is -1 if the leader has not heard from it.
 	Index   uint64 `json:"index,omitempty"`
 	HeardMs int64  `json:"heard_ms,omitempty"`
@@ -110,32 +114,35 @@
 
 // Status is what a node tells of itself and of what it knows.
 type Status struct {
-	Node          string            `json:"node"`
-	System        string            `json:"system"`
-	Role          string            `json:"role"`
-	Term          uint64            `json:"term"`
-	Leader        string            `json:"leader"`
-	Index         uint64            `json:"index"`
-	Rows          int               `json:"rows"`
-	Configuration uint64            `json:"configuration"`
-	Fit           bool              `json:"fit"`
-	ClockMs       int64             `json:"clock_ms"`
-	FreshMs       int64             `json:"fresh_ms"`
-	GrantMs       int64             `json:"grant_ms"`
-	ListMs        int64             `json:"list_ms"`
-	ListFault     string            `json:"list_fault,omitempty"`
-	Voters        []string          `json:"voters"`
-	Learners      []string          `json:"learners"`
-	Suspects      []string          `json:"suspects"`
-	Keeper        map[string]any    `json:"keeper"`
-	Disk          *Disk             `json:"disk,omitempty"`
-	Outcomes      map[string]uint64 `json:"outcomes"`
-	Nodes         []NodeStatus      `json:"nodes"`
-	Districts     []DistrictStatus  `json:"districts"`
-	Standings     []Standing        `json:"standings"`
-	Entries       []string          `json:"entries"`
-	Backends      []BackendStatus   `json:"backends"`
-	Unconfirmed   []string          `json:"unconfirmed,omitempty"`
+	Node          string `json:"node"`
+	System        string `json:"system"`
+	Role          string `json:"role"`
+	Term          uint64 `json:"term"`
+	Leader        string `json:"leader"`
+	Index         uint64 `json:"index"`
+	Rows          int    `json:"rows"`
+	Configuration uint64 `json:"configuration"`
+	// Fleet is the version that the fleet uses, Newest the highest that this node's program speaks.
+	Fleet       uint32            `json:"fleet"`
+	Newest      uint32            `json:"newest"`
+	Fit         bool              `json:"fit"`
+	ClockMs     int64             `json:"clock_ms"`
+	FreshMs     int64             `json:"fresh_ms"`
+	GrantMs     int64             `json:"grant_ms"`
+	ListMs      int64             `json:"list_ms"`
+	ListFault   string            `json:"list_fault,omitempty"`
+	Voters      []string          `json:"voters"`
+	Learners    []string          `json:"learners"`
+	Suspects    []string          `json:"suspects"`
+	Keeper      map[string]any    `json:"keeper"`
+	Disk        *Disk             `json:"disk,omitempty"`
+	Outcomes    map[string]uint64 `json:"outcomes"`
+	Nodes       []NodeStatus      `json:"nodes"`
+	Districts   []DistrictStatus  `json:"districts"`
+	Standings   []Standing        `json:"standings"`
+	Entries     []string          `json:"entries"`
+	Backends    []BackendStatus   `json:"backends"`
+	Unconfirmed []string          `json:"unconfirmed,omitempty"`
 	// LeaderSilent tells why the leader's part is missing: the changes, and what each machine has.
 	LeaderSilent string        `json:"leader_silent,omitempty"`
 	Changes      []Change      `json:"changes,omitempty"`
@@ -303,7 +310,7 @@
 	now, local := d.options.Now(), d.options.Local()
 	view := local.View
 	s := &Status{Node: d.options.Self.Id, System: local.System, Role: local.Role, Term: local.Term, Leader: local.Leader, Index: view.Version, Rows: local.Rows,
-		Configuration: view.Head.Version, Fit: d.isFit(now, local), ClockMs: now.Milliseconds(), FreshMs: (now - local.FreshAt).Milliseconds(), GrantMs: max(0, local.GrantUntil-now).Milliseconds(),
+		Configuration: view.Head.Version, Fleet: view.Fleet, Newest: versions.Newest, Fit: d.isFit(now, local), ClockMs: now.Milliseconds(), FreshMs: (now - local.FreshAt).Milliseconds(), GrantMs: max(0, local.GrantUntil-now).Milliseconds(),
 		ListMs: -1, ListFault: local.ListFault, Suspects: local.Suspects, Outcomes: d.options.Stats()}
 	if local.ListAt > 0 {
 		s.ListMs = (now - local.ListAt).Milliseconds()
@@ -327,7 +334,11 @@
 		}
 	}
 	for _, node := range view.Nodes {
-		s.Nodes = append(s.Nodes, NodeStatus{ID: node.Id, Peer: node.Address, Proxy: node.Proxy, Door: node.Door, District: node.District, Region: node.Region, Disk: node.Disk,
+		speaks, err := versions.Told(node.SpeaksLow, node.SpeaksHigh)
+		if err != nil {
+			speaks = versions.Span{Low: versions.First, High: versions.First}
+		}
+		s.Nodes = append(s.Nodes, NodeStatus{SpeaksLow: speaks.Low, SpeaksHigh: speaks.High, ID: node.Id, Peer: node.Address, Proxy: node.Proxy, Door: node.Door, District: node.District, Region: node.Region, Disk: node.Disk,
 			State: strings.ToLower(strings.TrimPrefix(node.State.String(), "NODE_"))})
 	}
 	slices.SortFunc(s.Nodes, func(a, b NodeStatus) int { return strings.Compare(a.ID, b.ID) })
