--- a/internal/node/routed_test.go
+++ b/internal/node/routed_test.go
@@ -170,7 +170,7 @@
 		m.outside = o
 		return map[string]http.Handler{s.Proxy: o.Requests}
 	}, Bounds: node.Bounds{Bounds: gateway.Bounds{RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetrySlack: 60, ColdExcess: 1.5, ColdMargin: 5},
-		HoldMost: 10 * time.Second, ListLag: 100 * time.Millisecond, StopGrace: 6 * time.Second, ResolveMost: 5 * time.Second}}
+		HoldMost: 10 * time.Second, ListLag: 100 * time.Millisecond, StopGrace: 1500 * time.Millisecond, ResolveMost: 5 * time.Second}}
 	if s.Data != "" {
 		seam.List = p.list
 	}
@@ -271,7 +271,7 @@
 
 	target := func(service string) []*schema.Target { return []*schema.Target{{Service: service, Weight: 1}} }
 	config := &schema.RouteConfig{Version: 5, Document: []byte("{ the operator's own text\n}"), Routes: []*schema.Route{
-		{Name: "r-1", Host: "one.example", Prefix: "/c/", TimeoutMs: 5000, TargetMs: 5000, MaxAttempts: 2, Targets: target("copper")},
+		{Name: "r-1", Host: "one.example", Prefix: "/c/", TimeoutMs: 5000, TargetMs: 500, MaxAttempts: 2, Targets: target("copper")},
 		{Name: "r-2", Host: "one.example", Prefix: "/n/", TimeoutMs: 5000, TargetMs: 500, MaxAttempts: 2, Targets: target("nickel")}},
 		Services: []*schema.ServicePolicy{{Service: "copper", ColdRate: 17}, {Service: "nickel", ColdRate: 17, Keyed: true}}}
 	put := &schema.OperatorQuery{Kind: schema.OperatorKind_OPERATOR_PUT_ROUTES, Routes: config}
