--- a/internal/controlplane/catch_up_test.go
+++ b/internal/controlplane/catch_up_test.go
@@ -64,7 +64,7 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
-			for seed := range seeds(t, 2) {
+			forEachSeed(t, 2, func(t *testing.T, seed int64) {
 				w := newSizedWorld(t, seed, 3, 0, journal.Options{Files: 4, FileBytes: 2 << 20, SnapshotBytes: 4 << 20})
 				away := w.machines[1]
 				if away == w.leader() {
@@ -102,7 +102,7 @@
 				if w.parts == 0 {
 					t.Errorf("seed %d: no part of a snapshot was sent", seed)
 				}
-			}
+			})
 		})
 	}
 }
--- a/internal/controlplane/cut_off_test.go
+++ b/internal/controlplane/cut_off_test.go
@@ -44,7 +44,8 @@
 	} {
 		for _, isFrozen := range []bool{false, true} {
 			t.Run(fmt.Sprintf("%s, frozen %v", c.name, isFrozen), func(t *testing.T) {
-				for seed := range seeds(t, 6) {
+				t.Parallel()
+				forEachSeed(t, 6, func(t *testing.T, seed int64) {
 					w := newWorld(t, seed, 6, 1)
 					former := w.leader()
 					w.put(former, routesOf(1, 0, "one"))
@@ -75,12 +76,12 @@
 					w.operate(former, c.ask, func(o *schema.OperatorResponse) { got = o })
 					w.run(700 * time.Millisecond)
 					if got == nil {
-						continue
+						return
 					}
 					if got.Refusal != schema.RefusalKind_REFUSAL_NO_LEADER && got.Refusal != schema.RefusalKind_REFUSAL_AMBIGUOUS {
 						t.Fatalf("seed %d: the former leader answers %v", seed, got)
 					}
-				}
+				})
 			})
 		}
 	}
@@ -108,7 +109,8 @@
 		{"together, and its sources are restarted", 8 * time.Second, quiet, true},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			for seed := range seeds(t, 20) {
+			t.Parallel()
+			forEachSeed(t, 20, func(t *testing.T, seed int64) {
 				w := newWorld(t, seed, 6, 3)
 				reader := w.machines[6]
 				w.put(w.leader(), routesOf(1, 0, "one"))
@@ -154,7 +156,7 @@
 				if version := reader.control.Local().View.Head.GetVersion(); version != 2 {
 					t.Errorf("seed %d: the reader holds version %d by %s, confirmed %v ago", seed, version, reader.control.Source(), w.now-reader.control.Local().FreshAt)
 				}
-			}
+			})
 		})
 	}
 }
--- a/internal/controlplane/history_test.go
+++ b/internal/controlplane/history_test.go
@@ -287,7 +287,7 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
-			for seed := range seeds(t, 8) {
+			forEachSeed(t, 8, func(t *testing.T, seed int64) {
 				w := newWorld(t, seed, 6, 2)
 				o := &operators{w: w, ackLoss: c.ackLoss}
 				w.loss = c.loss
@@ -313,7 +313,7 @@
 				if result != porcupine.Ok {
 					t.Fatalf("seed %d: the answers are those of no register (%v): %s", seed, result, o.describe())
 				}
-			}
+			})
 		})
 	}
 }
--- a/internal/controlplane/losses_test.go
+++ b/internal/controlplane/losses_test.go
@@ -100,7 +100,7 @@
 	} {
 		t.Run(fmt.Sprintf("%d voters that bear the loss of %d", bears.voters, bears.machines), func(t *testing.T) {
 			t.Parallel()
-			for seed := range seeds(t, 3) {
+			forEachSeed(t, 3, func(t *testing.T, seed int64) {
 				w := newWorld(t, seed, bears.voters, 0)
 				o := &operators{w: w}
 				version := uint64(0)
@@ -134,7 +134,7 @@
 						fail(fmt.Sprintf("version %d is in force, %d was acknowledged", newest, version))
 					}
 				}
-			}
+			})
 		})
 	}
 }
--- a/internal/controlplane/startup_test.go
+++ b/internal/controlplane/startup_test.go
@@ -10,13 +10,16 @@
 
 func TestRoutedFleetsSettleSoonAfterTheirStart(t *testing.T) {
 	for seed := int64(1); seed <= 12; seed++ {
-		f := newStartupFleet(t, seed, 15)
-		settled := f.settle()
-		if settled > 9*time.Second {
-			t.Errorf("seed %d: every node had every row only after %v; a start has 8 s before traffic, and 2 s of calm count", seed, settled)
-		}
-		f.run(f.now + startupRest + time.Second)
-		f.change(3, time.Second)
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			t.Parallel()
+			f := newStartupFleet(t, seed, 15)
+			settled := f.settle()
+			if settled > 9*time.Second {
+				t.Errorf("seed %d: every node had every row only after %v; a start has 8 s before traffic, and 2 s of calm count", seed, settled)
+			}
+			f.run(f.now + startupRest + time.Second)
+			f.change(3, time.Second)
+		})
 	}
 }
 
--- a/internal/controlplane/world_test.go
+++ b/internal/controlplane/world_test.go
@@ -100,6 +100,16 @@
 	return count
 }
 
+// forEachSeed plays the seeds of a test side by side, each in a subtest of its own.
+func forEachSeed(t *testing.T, fewest int64, play func(t *testing.T, seed int64)) {
+	for seed := range seeds(t, fewest) {
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			t.Parallel()
+			play(t, seed)
+		})
+	}
+}
+
 const (
 	worldTick = constants.RoutedTick
 	farWay    = 20 * time.Millisecond
