Logs tell lease calls, taken ends, late ticks, lost sources and the age of rows behind a 404

Added, with no change of logic: a line of the leader each 2 s (ranges, calls in flight, answers by result, records by reason), one where a back end is taken as ended, one where a tick is as late as an election time-out, with the commands run meanwhile, one where a reader loses and finds a source, and one a second at most where a request has no route, with the age of the rows.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -87,6 +87,8 @@
 	pressure *Pressure
 	inFlight atomic.Int64
 	stopping atomic.Bool
+	// noRouteLoggedAt is when a request that no route fits was last logged, a time.Duration of the node's clock.
+	noRouteLoggedAt atomic.Int64
 }
 
 // New makes a gateway without connections.
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -20,6 +20,9 @@
 	kindFailed     = "failed"
 )
 
+// noRouteLogEvery is the least time between two log lines about requests that no route fits.
+const noRouteLogEvery = time.Second
+
 // ServeHTTP takes one request of a caller.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	begun := g.options.Now()
@@ -52,6 +55,7 @@
 	id := r.Header.Get(g.options.Names.Attempt)
 	route := local.View.Route(hostOf(r), pathOf(r))
 	if route == nil {
+		g.logNoRoute(local, begun)
 		message := "no route of this host begins the path; see the configuration"
 		g.respond(w, id, ownResponse{Status: http.StatusNotFound, Kind: kindNoRoute, Message: message})
 		return
@@ -68,6 +72,16 @@
 	g.serveRoute(w, r, local, &options)
 }
 
+// logNoRoute logs, at most once in noRouteLogEvery, by how old a state a request was answered that no route fits.
+func (g *Gateway) logNoRoute(local *controlplane.Local, now time.Duration) {
+	last := g.noRouteLoggedAt.Load()
+	if now-time.Duration(last) < noRouteLogEvery || !g.noRouteLoggedAt.CompareAndSwap(last, int64(now)) {
+		return
+	}
+	g.options.Log.Info("no route fits a request", "configuration", local.View.Head.GetVersion(),
+		"ageMilliseconds", (now - local.FreshAt).Milliseconds())
+}
+
 // requestOptions draws the service that the route sends this request to.
 func (g *Gateway) requestOptions(r *http.Request, route *schema.Route, begun, wait time.Duration) RequestOptions {
 	options := RequestOptions{
--- a/internal/leader/shards.go
+++ b/internal/leader/shards.go
@@ -23,6 +23,7 @@
 	manager      *sharding.LeaseManager
 	incarnation  uint64
 	loads        loadReports
+	report       leaseReport
 	// ended are the back ends whose process has surely ended.
 	ended map[string]bool
 }
@@ -31,6 +32,7 @@
 	s.manager = sharding.New(sharding.Options{MaxLease: s.longestLease})
 	s.incarnation++
 	s.loads = loadReports{}
+	s.report = newLeaseReport()
 	s.ended = map[string]bool{}
 }
 
@@ -39,6 +41,7 @@
 	if answer.Incarnation != s.incarnation {
 		return false
 	}
+	s.report.answered(answer.Result)
 	s.manager.Answered(now, answer.Answer)
 	return true
 }
@@ -54,6 +57,8 @@
 		Load:      s.loads.sum(t.Now),
 		Dead:      func(instance string) bool { return s.hasEnded(t.View, instance) },
 	})
+	s.report.note(effects.Records, len(effects.Calls))
+	s.report.log(t.Now, t.logger, s.manager.Stats())
 	for _, record := range effects.Records {
 		t.propose(record)
 	}
--- a/internal/node/lease_calls.go
+++ b/internal/node/lease_calls.go
@@ -37,6 +37,8 @@
 	case !wasRefused:
 		s.refusedSince[instance] = now
 	case now-since >= constants.RefusedApart:
+		s.node.log.Info("back end is taken as ended, its address refuses connections", "instance", instance,
+			"milliseconds", (now - since).Milliseconds())
 		s.node.machine.BackendEnded(instance)
 	}
 }
--- a/internal/node/owner.go
+++ b/internal/node/owner.go
@@ -7,6 +7,9 @@
 	"topazshed/internal/schema"
 )
 
+// lateTick is the time since the last tick from which on a tick is logged as late: the shortest election time-out.
+const lateTick = 600 * time.Millisecond
+
 // do hands a closure to the owner. It blocks while the queue is full and gives up when the node ends.
 func (n *Node) do(command func()) {
 	select {
@@ -20,16 +23,20 @@
 	ticker := time.NewTicker(n.service.tickEvery())
 	defer ticker.Stop()
 	driver := n.driver()
+	tickedAt, commands := n.Now(), 0
 	for {
 		select {
 		case <-n.ctx.Done():
 			return
 		case command := <-n.commands:
 			command()
+			commands++
 		case <-ticker.C:
-			n.machine.Tick(n.Now())
+			n.noteLateTick(n.Now()-tickedAt, commands)
+			tickedAt, commands = n.Now(), 0
+			n.machine.Tick(tickedAt)
 		}
-		n.runQueued()
+		commands += n.runQueued()
 		if err := driver.Perform(); err != nil {
 			n.fail(err)
 			return
@@ -37,14 +44,23 @@
 	}
 }
 
-// runQueued runs what is queued already, so that one pass of the driver serves it all.
-func (n *Node) runQueued() {
+// noteLateTick logs a tick that came so late that peers may miss this node's heartbeats, with the commands run meanwhile.
+func (n *Node) noteLateTick(since time.Duration, commands int) {
+	if since >= lateTick {
+		n.log.Warn("a tick of the control machine was late", "milliseconds", since.Milliseconds(), "commands", commands)
+	}
+}
+
+// runQueued runs what is queued already, so that one pass of the driver serves it all, and counts it.
+func (n *Node) runQueued() int {
+	count := 0
 	for {
 		select {
 		case command := <-n.commands:
 			command()
+			count++
 		default:
-			return
+			return count
 		}
 	}
 }
--- a/internal/replication/source.go
+++ b/internal/replication/source.go
@@ -65,12 +65,8 @@
 	}
 }
 
-// failIfUnresponsive notes the failure of a source that timed out, once.
-func (s *source) failIfUnresponsive(now time.Duration) {
-	if s.address != "" && s.chosenAt > 0 {
-		s.fail(now, s.address)
-	}
-}
+// isUnresponsive tells, of a source that is not alive, whether its failure is still to be noted.
+func (s *source) isUnresponsive() bool { return s.address != "" && s.chosenAt > 0 }
 
 // isTryDue bounds how often members are tried in turn while all of them are silent or have old rows.
 func (s *source) isTryDue(now time.Duration) bool {
--- a/internal/replication/subscription.go
+++ b/internal/replication/subscription.go
@@ -150,7 +150,9 @@
 // Tick renews the subscription, or turns to another source if this one is silent or sends old rows.
 func (s *Subscription) Tick(now time.Duration) []frame.Envelope {
 	if !s.source.isAlive(now) {
-		s.source.failIfUnresponsive(now)
+		if s.source.isUnresponsive() {
+			s.failSource(now, s.source.address, "it is unresponsive")
+		}
 		if s.source.isTryDue(now) && s.chooseSource(now) {
 			return s.subscribe(now)
 		}
@@ -195,9 +197,9 @@
 		return s.afterRefusedDelta(now, delta)
 	}
 	if isConfirmed {
-		s.source.confirm(now, from)
+		s.confirmSource(now, from)
 	} else {
-		s.source.fail(now, from)
+		s.failSource(now, from, "its rows are not confirmed")
 	}
 	for _, prefix := range delta.Whole {
 		s.setHeld(prefix, true)
@@ -210,6 +212,24 @@
 	return effects
 }
 
+// confirmSource notes that a member sends confirmed rows, and logs it if a source was sought.
+func (s *Subscription) confirmSource(now time.Duration, from string) {
+	if s.source.isSeeking() {
+		s.options.Log.Info("a source of rows is found", "source", from,
+			"soughtMilliseconds", (now - s.source.seekingSince).Milliseconds(), "tries", s.source.tries)
+	}
+	s.source.confirm(now, from)
+}
+
+// failSource notes that a member can't be relied on, and logs the loss of a good source.
+func (s *Subscription) failSource(now time.Duration, from, reason string) {
+	if !s.source.isSeeking() {
+		s.options.Log.Info("the source of rows is lost", "source", from, "reason", reason,
+			"ageMilliseconds", (now - s.freshAt).Milliseconds())
+	}
+	s.source.fail(now, from)
+}
+
 // afterRefusedDelta asks again from the table's version if a delta begins after it; an older delta needs nothing.
 func (s *Subscription) afterRefusedDelta(now time.Duration, delta *schema.Delta) Effects {
 	if raft.Index(delta.From) <= s.table.Version() {
--- a/internal/sharding/moves.go
+++ b/internal/sharding/moves.go
@@ -24,7 +24,22 @@
 		fresh = p.assignParts(s, min(count, len(p.eligible), constants.MaxKeyPieces, int(s.width())), "")
 	}
 	p.manager.withdrawn[s.rowKey] = s.rowIndex
-	p.propose("assign keys", 0, []shard{s}, fresh)
+	p.propose(p.assignReason(s), 0, []shard{s}, fresh)
+}
+
+// assignReason tells why no back end can have a lease on a shard that gets a new owner.
+func (p *planner) assignReason(s shard) string {
+	if release := p.state.releases[s.id()]; release != nil && release.isReleased && s.isReleasing {
+		return "assign keys: released"
+	}
+	isVoid := slices.ContainsFunc(p.manager.outstandingCalls, func(c *outstandingCall) bool {
+		isOfShard := c.service == p.service.Name && slices.ContainsFunc(c.ranges, s.overlaps)
+		return isOfShard && !c.hasLapsed(p.facts.Now)
+	})
+	if isVoid {
+		return "assign keys: owner's process ended"
+	}
+	return "assign keys: lease lapsed"
 }
 
 // assignParts divides a shard into parts of about equal weight and gives each to an eligible instance.
--- a/internal/sharding/sharding.go
+++ b/internal/sharding/sharding.go
@@ -45,6 +45,8 @@
 	homeRegions map[string]*homeRegions
 	// homeRegionsHead is the head of the catalog that homeRegions was made from.
 	homeRegionsHead *schema.CatalogHead
+	// ranges counts the shard ranges of all services at the last step.
+	ranges int
 	// instancesAt holds the listed instances by address, as instancesView lists them.
 	instancesAt   map[string][]string
 	instancesView *store.View
@@ -92,6 +94,7 @@
 		m.homeRegionsHead = facts.View.Head
 	}
 	var effects Effects
+	m.ranges = 0
 	for _, name := range slices.Sorted(maps.Keys(facts.View.Services)) {
 		service := facts.View.Services[name]
 		if service.Policy == nil || !service.Policy.Keyed {
@@ -99,10 +102,16 @@
 		}
 		p := &planner{manager: m, state: m.stateOf(name), facts: facts, service: service, effects: &effects}
 		p.run()
+		m.ranges += len(p.shards)
 	}
 	return effects
 }
 
+// Stats counts what there is to do.
+func (m *LeaseManager) Stats() Stats {
+	return Stats{Ranges: m.ranges, InFlight: len(m.pending), Outstanding: len(m.outstandingCalls)}
+}
+
 // stateOf returns what the leader remembers of a service.
 func (m *LeaseManager) stateOf(service string) *serviceState {
 	state := m.services[service]
--- a/internal/sharding/types.go
+++ b/internal/sharding/types.go
@@ -86,6 +86,24 @@
 	Unsent
 )
 
+// String names the result as log lines do.
+func (r CallResult) String() string {
+	names := [...]string{"none", "done", "refused", "failed", "unknown", "unsent"}
+	if r < 0 || int(r) >= len(names) {
+		return "invalid"
+	}
+	return names[r]
+}
+
+// Stats count what a LeaseManager has to do.
+type Stats struct {
+	// Ranges are the shard ranges of all services at the last step.
+	Ranges int
+	// InFlight are the calls without an answer, Outstanding the leases that back ends may have.
+	InFlight    int
+	Outstanding int
+}
+
 // Answer is the end of a call. Each call must get one.
 type Answer struct {
 	ID     uint64
