sharding: a lease ends by lapse, release or a proven replacement, never by a refusal

What callers saw: two back ends worked on the same keys for up to 3.6 s (OWNER).

Cause: absence of an answer was taken as proof of death. A back end whose address refused connections for 150 ms, or that was missing in the list, counted as ended, and its leases as void. A cut that refuses connections looks just like that, and the list may lag.

Change: Facts.Dead, BackendEnded and the node's table of refusals are gone. A refused connection is what no connection is (Unsent): the call was not taken, the owner may live, only probes go to it. The one proof that is left is that another process answers at the address (421 to a call that names its target): the new result Replaced. So that it can be had, lease calls go on to an owner whose address is listed twice; all calls name their target.

Tests: TestAnOwnerWhoseConnectionsAreRefusedKeepsItsLease failed before (a second owner 1.9 s after the refusal, with 2.6 s of the first one's lease left) and passes. The simulated world knew deaths by an oracle; its back ends now refuse connections while they live, and answer for their successors as the protocol says. TestABackEndHasEndedIfRefusedOrUnlisted asserted the fault itself and is replaced by the cases of TestPlannedAndUnplannedMoves for refused, unlisted and replaced owners, each checked for two lease holders. 'An ended process' had 1.2 s there by the oracle; without a proof its bound is the lapse of a lease (6 s), with one it is 2 s.

Cost: keys of a crashed owner that nobody replaces are free at the lapse, up to 4.7 s after the last renewal.

--- a/internal/constants/outliers.go
+++ b/internal/constants/outliers.go
@@ -10,8 +10,6 @@
 	MinRest = 300 * time.Millisecond
 	// MaxRest is the longest one: one attempt then shows whether the back end is back.
 	MaxRest = 2 * time.Second
-	// RefusedApart is how far apart two refused connections prove that a back end's process has ended.
-	RefusedApart = 150 * time.Millisecond
 	// OutlierHalfLife is the time after which an attempt's result counts half: a node may send each back end one request in two
 	// seconds.
 	OutlierHalfLife = 4 * time.Second
--- a/internal/controlplane/platform.go
+++ b/internal/controlplane/platform.go
@@ -31,11 +31,6 @@
 	}
 }
 
-// BackendEnded tells that a back end's process has surely ended, so that it owns no shards any more.
-func (c *Machine) BackendEnded(instance string) {
-	c.duties.Take(c.now, leader.BackendEnded{Instance: instance})
-}
-
 // LeaseAnswered takes what became of a lease call.
 func (c *Machine) LeaseAnswered(now time.Duration, incarnation uint64, answer sharding.Answer) {
 	c.now = now
--- a/internal/leader/routes.go
+++ b/internal/leader/routes.go
@@ -52,9 +52,6 @@
 	case Listing:
 		r.endpoints.listing = &input.Listing
 		return true
-	case BackendEnded:
-		r.shards.ended[input.Instance] = true
-		return true
 	case LeaseAnswer:
 		return r.shards.answered(now, input)
 	}
--- a/internal/leader/shards.go
+++ b/internal/leader/shards.go
@@ -6,7 +6,6 @@
 	"topazshed/internal/constants"
 	"topazshed/internal/schema"
 	"topazshed/internal/sharding"
-	"topazshed/internal/store"
 )
 
 // LeaseCall is a call to a back end about a lease of shards.
@@ -24,8 +23,6 @@
 	incarnation  uint64
 	loads        loadReports
 	report       leaseReport
-	// ended are the back ends whose process has surely ended.
-	ended map[string]bool
 }
 
 func (s *shardLeases) reset() {
@@ -33,7 +30,6 @@
 	s.incarnation++
 	s.loads = loadReports{}
 	s.report = newLeaseReport()
-	s.ended = map[string]bool{}
 }
 
 // answered takes an answer; it tells whether the answer is for this lease manager.
@@ -55,7 +51,6 @@
 		ElectedAt: t.fleet.electedAt,
 		LeaseAt:   t.log.LeadershipConfirmedAt(),
 		Load:      s.loads.sum(t.Now),
-		Dead:      func(instance string) bool { return s.hasEnded(t.View, instance) },
 	})
 	s.report.note(effects.Records, len(effects.Calls))
 	s.report.log(t.Now, t.logger, s.manager.Stats())
@@ -69,20 +64,6 @@
 	return calls
 }
 
-// hasEnded tells whether a back end's process has surely ended: it was refused twice at its address, or two whole reads
-// of the list lacked it.
-func (s *shardLeases) hasEnded(view *store.View, instance string) bool {
-	if s.ended[instance] {
-		return true
-	}
-	for _, service := range view.Services {
-		if service.Backend(instance) != nil {
-			return false
-		}
-	}
-	return len(view.Services) > 0
-}
-
 // loadReport is what one node has reported of the load of shards.
 type loadReport struct {
 	at    time.Duration
--- a/internal/leader/workload.go
+++ b/internal/leader/workload.go
@@ -51,9 +51,6 @@
 // Listing is a read of the platform's list of back ends by a fleet of routes.
 type Listing struct{ discovery.Listing }
 
-// BackendEnded tells that a back end's process has surely ended, so that it owns no shards any more.
-type BackendEnded struct{ Instance string }
-
 // LeaseAnswer is what became of a lease call.
 type LeaseAnswer struct {
 	// Incarnation is that of the call.
@@ -61,7 +58,6 @@
 	sharding.Answer
 }
 
-func (ListRead) isInput()     {}
-func (Listing) isInput()      {}
-func (BackendEnded) isInput() {}
-func (LeaseAnswer) isInput()  {}
+func (ListRead) isInput()    {}
+func (Listing) isInput()     {}
+func (LeaseAnswer) isInput() {}
--- a/internal/leasecall/client.go
+++ b/internal/leasecall/client.go
@@ -14,7 +14,6 @@
 	"net/http/httptrace"
 	"net/netip"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"topazshed/internal/constants"
@@ -83,15 +82,11 @@
 	return &Client{dial: dial, http: NewHTTPClient(dial, 0), headers: headers}
 }
 
-// Probe asks whether anything accepts connections at the call's address. The result is Done if so, Failed if the address
-// refuses connections, else Unknown.
+// Probe asks whether anything accepts connections at the call's address. The result is Done if so, else Unknown.
 func (c *Client) Probe(ctx context.Context, call sharding.Call) (sharding.Answer, error) {
 	answer := sharding.Answer{ID: call.ID, Result: sharding.Unknown}
 	conn, err := c.dial(ctx, "tcp", call.Address)
 	if err != nil {
-		if errors.Is(err, syscall.ECONNREFUSED) {
-			answer.Result = sharding.Failed
-		}
 		return answer, err
 	}
 	answer.Result = sharding.Done
@@ -99,7 +94,8 @@
 }
 
 // Post sends body as JSON to a path at the call's address. The error tells why there was no whole response; the result is
-// Unsent if no connection came up, Failed if the back end did nothing, Unknown if it may have acted.
+// Unsent if no connection came up, Failed if the back end did nothing, Replaced if another one answered at the address,
+// Unknown if it may have acted.
 func (c *Client) Post(ctx context.Context, call sharding.Call, path string, body any) (sharding.Answer, error) {
 	answer := sharding.Answer{ID: call.ID, Result: sharding.Unknown}
 	text, err := json.Marshal(body)
@@ -115,7 +111,7 @@
 	request, hadConnection := traceConnection(request)
 	response, err := c.http.Do(request)
 	if err != nil {
-		answer.Result = resultWithoutResponse(err, hadConnection())
+		answer.Result = resultWithoutResponse(hadConnection())
 		return answer, err
 	}
 	_, err = io.Copy(io.Discard, io.LimitReader(response.Body, constants.DocumentLimit))
@@ -127,15 +123,11 @@
 	return answer, err
 }
 
-func resultWithoutResponse(err error, hadConnection bool) sharding.CallResult {
-	switch {
-	case errors.Is(err, syscall.ECONNREFUSED):
-		return sharding.Failed
-	case !hadConnection:
-		return sharding.Unsent
-	default:
+func resultWithoutResponse(hadConnection bool) sharding.CallResult {
+	if hadConnection {
 		return sharding.Unknown
 	}
+	return sharding.Unsent
 }
 
 func (c *Client) resultOf(response *http.Response) sharding.CallResult {
@@ -145,7 +137,9 @@
 		return sharding.Done
 	case status == http.StatusConflict:
 		return sharding.Refused
-	case status == http.StatusMisdirectedRequest || status == http.StatusBadRequest || didNothing:
+	case status == http.StatusMisdirectedRequest:
+		return sharding.Replaced
+	case status == http.StatusBadRequest || didNothing:
 		return sharding.Failed
 	default:
 		return sharding.Unknown
--- a/internal/node/route_service.go
+++ b/internal/node/route_service.go
@@ -27,12 +27,10 @@
 	gateway  *gateway.Gateway
 	// callers are the connections to the gateway; nil where the platform does not serve it.
 	callers *gateway.Callers
-	// refusedSince is when each back end first refused a connection for a lease call; the owner's.
-	refusedSince map[string]time.Duration
 }
 
 func newRouteService(n *Node, platform *Platform) *routeService {
-	return &routeService{node: n, platform: platform, refusedSince: map[string]time.Duration{}}
+	return &routeService{node: n, platform: platform}
 }
 
 func (s *routeService) routed() *controlplane.RouteOptions {
--- a/internal/sharding/answers.go
+++ b/internal/sharding/answers.go
@@ -13,6 +13,9 @@
 		return
 	}
 	delete(m.pending, answer.ID)
+	if answer.Result == Replaced {
+		m.ended[pending.call.Instance] = true
+	}
 	state := m.services[pending.call.Service]
 	switch pending.call.Kind {
 	case ReleaseLease:
@@ -50,9 +53,6 @@
 		progress.isWaiting = false
 		progress.nextAt = now + constants.KeyRetryPause
 	}
-	if answer.Result == Failed {
-		s.notRunningAt[instance] = pending.sentAt
-	}
 }
 
 func (m *LeaseManager) leaseAnswered(now time.Duration, state *serviceState, pending *pendingCall, answer Answer) {
@@ -75,9 +75,8 @@
 		progress.refusals++
 		progress.isRefused = true
 		return
-	case Failed:
+	case Failed, Replaced:
 		pending.outstanding.until = now
-		state.notRunningAt[instance] = pending.sentAt
 	case Unsent:
 		pending.outstanding.until = now
 		state.markUnresponsive(instance, now)
--- a/internal/sharding/eligibility.go
+++ b/internal/sharding/eligibility.go
@@ -69,7 +69,7 @@
 }
 
 func (p *planner) isUsable(backend *schema.Backend) bool {
-	if backend.State != schema.BackendState_BACKEND_READY || backend.Failing || p.facts.Dead(backend.Instance) {
+	if backend.State != schema.BackendState_BACKEND_READY || backend.Failing || p.manager.ended[backend.Instance] {
 		return false
 	}
 	_, isExcluded := p.state.excludedUntil[backend.Instance]
@@ -88,7 +88,7 @@
 
 func (p *planner) sharesAddress(instance, address string) bool {
 	return slices.ContainsFunc(p.manager.listedAt(p.facts.View, address), func(other string) bool {
-		return other != instance && !p.facts.Dead(other)
+		return other != instance && !p.manager.ended[other]
 	})
 }
 
--- a/internal/sharding/leases.go
+++ b/internal/sharding/leases.go
@@ -13,7 +13,7 @@
 		p.raiseFence(s, lease)
 		return
 	}
-	if !p.mayCall(&lease.callProgress) || p.isWithdrawn(s) || p.hasSharedAddress(backend) {
+	if !p.mayCall(&lease.callProgress) || p.isWithdrawn(s) {
 		return
 	}
 	if probe := p.state.unresponsive[s.owner]; probe != nil {
@@ -27,10 +27,8 @@
 	outstanding := &outstandingCall{
 		service:    p.service.Name,
 		instance:   s.owner,
-		address:    backend.Address,
 		fence:      s.fence,
 		ranges:     []keyRange{s.keyRange},
-		sentAt:     p.facts.Now,
 		isInFlight: true,
 	}
 	p.manager.outstandingCalls = append(p.manager.outstandingCalls, outstanding)
@@ -75,7 +73,7 @@
 		progress = &releaseProgress{}
 		p.state.releases[s.id()] = progress
 	}
-	if progress.isReleased || !p.mayCall(&progress.callProgress) || p.hasSharedAddress(backend) {
+	if progress.isReleased || !p.mayCall(&progress.callProgress) {
 		return
 	}
 	progress.isWaiting = true
--- a/internal/sharding/moves.go
+++ b/internal/sharding/moves.go
@@ -130,7 +130,7 @@
 	isLeaving := map[string]bool{}
 	for _, backend := range p.service.Backends {
 		mustLeave, isGradual := p.mustLeave(backend)
-		if !mustLeave || p.lightest(backend.Instance) == "" || p.facts.Dead(backend.Instance) {
+		if !mustLeave || p.lightest(backend.Instance) == "" || p.manager.ended[backend.Instance] {
 			continue
 		}
 		left, moving := p.ownedWidth(backend.Instance)
--- a/internal/sharding/planner.go
+++ b/internal/sharding/planner.go
@@ -53,7 +53,7 @@
 // advance does what one shard needs next: a new owner, a release or a lease.
 func (p *planner) advance(s shard) {
 	backend := p.service.Backend(s.owner)
-	isLost := backend == nil || p.facts.Dead(s.owner)
+	isLost := backend == nil || p.manager.ended[s.owner]
 	switch {
 	case (isLost || s.isReleasing || p.isWithdrawn(s)) && p.hasLapsed(s):
 		p.assign(s)
--- a/internal/sharding/sharding.go
+++ b/internal/sharding/sharding.go
@@ -39,6 +39,9 @@
 	pending          map[uint64]*pendingCall
 	outstandingCalls []*outstandingCall
 	services         map[string]*serviceState
+	// ended are the instances whose process has certainly ended, since another one answered at its address. Silence, a
+	// refused connection and a missing line in the list are no proof.
+	ended map[string]bool
 	// withdrawn holds, by row key, the index of a row that a proposed record takes from its owner; such an owner gets
 	// no more leases.
 	withdrawn   map[string]raft.Index
@@ -70,13 +73,11 @@
 	m.pending = map[uint64]*pendingCall{}
 	m.outstandingCalls = nil
 	m.services = map[string]*serviceState{}
+	m.ended = map[string]bool{}
 }
 
 // Step returns the records to propose and the calls to send at one instant.
 func (m *LeaseManager) Step(facts Facts) Effects {
-	if facts.Dead == nil {
-		facts.Dead = func(string) bool { return false }
-	}
 	if !facts.IsLeading {
 		m.reset()
 		return Effects{}
--- a/internal/sharding/state.go
+++ b/internal/sharding/state.go
@@ -2,7 +2,6 @@
 
 import (
 	"maps"
-	"slices"
 	"strings"
 	"time"
 
@@ -60,8 +59,6 @@
 	// failingSince holds, by instance, since when no lease call has succeeded: when the first that failed was sent, but
 	// not long before that one ended.
 	failingSince map[string]time.Duration
-	// notRunningAt holds, by instance, when the latest call was sent that certainly was not taken at the instance's address.
-	notRunningAt map[string]time.Duration
 	// unresponsive holds the back ends that left a lease call unanswered: only probes go to them until one is answered.
 	unresponsive map[string]*callProgress
 	// excludedUntil holds the back ends that get no shards for a while because they could not be reached.
@@ -78,7 +75,6 @@
 		releases:      map[shardID]*releaseProgress{},
 		targets:       map[Key]string{},
 		failingSince:  map[string]time.Duration{},
-		notRunningAt:  map[string]time.Duration{},
 		unresponsive:  map[string]*callProgress{},
 		excludedUntil: map[string]time.Duration{},
 		evacuations:   map[string]evacuation{},
@@ -128,11 +124,7 @@
 
 func (p *planner) forgetStaleInstances() {
 	isUnlisted := func(instance string) bool { return p.service.Backend(instance) == nil }
-	isOwner := func(instance string) bool {
-		return slices.ContainsFunc(p.shards, func(s shard) bool { return s.owner == instance })
-	}
 	maps.DeleteFunc(p.state.excludedUntil, func(_ string, until time.Duration) bool { return until <= p.facts.Now })
 	maps.DeleteFunc(p.state.failingSince, func(instance string, _ time.Duration) bool { return isUnlisted(instance) })
-	maps.DeleteFunc(p.state.notRunningAt, func(instance string, _ time.Duration) bool { return isUnlisted(instance) && !isOwner(instance) })
 	maps.DeleteFunc(p.state.unresponsive, func(instance string, _ *callProgress) bool { return isUnlisted(instance) })
 }
--- a/internal/sharding/types.go
+++ b/internal/sharding/types.go
@@ -23,8 +23,6 @@
 	LeaseAt time.Duration
 	// Load is how many requests each service's back ends work on at once, by equal buckets of keys.
 	Load map[string][]float64
-	// Dead reports whether an instance's process has certainly ended; nil means that none is known to have.
-	Dead func(instance string) bool
 }
 
 // Effects are the records to propose and the calls to send after a step.
@@ -82,13 +80,15 @@
 	// Unknown means that there was no answer, so that the call may have been taken.
 	Unknown
 	// Unsent means that no connection came up, so that nothing was written. The call certainly was not taken, but the
-	// process may still run.
+	// process may still run: a network that is cut may refuse connections as well as drop them.
 	Unsent
+	// Replaced means that another process answered at the address, which proves that the instance's process has ended.
+	Replaced
 )
 
 // String names the result as log lines do.
 func (r CallResult) String() string {
-	names := [...]string{"none", "done", "refused", "failed", "unknown", "unsent"}
+	names := [...]string{"none", "done", "refused", "failed", "unknown", "unsent", "replaced"}
 	if r < 0 || int(r) >= len(names) {
 		return "invalid"
 	}
--- a/internal/sharding/world_faults_test.go
+++ b/internal/sharding/world_faults_test.go
@@ -93,8 +93,10 @@
 		w.at(w.now+time.Second+w.randomDuration(6*time.Second), func() { w.empty(zone, false) })
 	case 4:
 		backend.cutUntil = w.now + w.randomDuration(9*time.Second)
+		backend.isRefusing = w.random.Intn(2) == 0
 	case 5: // taken off the list although it runs on
 		backend.cutUntil = w.now + w.randomDuration(6*time.Second)
+		backend.isRefusing = w.random.Intn(2) == 0
 		w.unlist(backend)
 		w.at(w.now+w.randomDuration(12*time.Second), func() {
 			if backend.isAlive {
