node: a tick that is due goes before the commands that keep coming

Cause: the owner's loop served commands until its queue was empty. A new leader's lease answers kept it from being empty for 1.0 to 2.2 s ('stood still' in the log, with the processor at its share), so its heartbeats missed the election time-out of 0.6 s, another node was elected, and the same befell that one: 18 leaders in 50 s [], 11 in 20 s []. Ruled out: a slow disk (syncs are 'slow' only while the process itself is starved), a frozen machine (none was).

Change: one pass runs what was queued when it began; a tick that is due goes before the next pass.

--- a/internal/node/owner.go
+++ b/internal/node/owner.go
@@ -18,12 +18,18 @@
 	}
 }
 
-// own is the owner's loop: the only caller of the control machine and its driver.
+// own is the owner's loop: the only caller of the control machine and its driver. A tick that is due goes before commands,
+// since heartbeats and elections hang on it.
 func (n *Node) own() {
 	ticker := time.NewTicker(n.service.tickEvery())
 	defer ticker.Stop()
 	driver := n.driver()
 	tickedAt, commands := n.Now(), 0
+	tick := func() {
+		n.noteLateTick(n.Now()-tickedAt, commands)
+		tickedAt, commands = n.Now(), 0
+		n.machine.Tick(tickedAt)
+	}
 	for {
 		select {
 		case <-n.ctx.Done():
@@ -32,11 +38,14 @@
 			command()
 			commands++
 		case <-ticker.C:
-			n.noteLateTick(n.Now()-tickedAt, commands)
-			tickedAt, commands = n.Now(), 0
-			n.machine.Tick(tickedAt)
+			tick()
 		}
 		commands += n.runQueued()
+		select {
+		case <-ticker.C:
+			tick()
+		default:
+		}
 		if err := driver.Perform(); err != nil {
 			n.fail(err)
 			return
@@ -51,18 +60,15 @@
 	}
 }
 
-// runQueued runs what is queued already, so that one pass of the driver serves it all, and counts it.
+// runQueued runs what is queued already, so that one pass of the driver serves it all, and counts it. What comes meanwhile
+// waits for the next pass.
 func (n *Node) runQueued() int {
-	count := 0
-	for {
-		select {
-		case command := <-n.commands:
-			command()
-			count++
-		default:
-			return count
-		}
+	queued := len(n.commands)
+	for range queued {
+		command := <-n.commands
+		command()
 	}
+	return queued
 }
 
 // fail ends the process: Wait returns the error.
