sharding: a leader has at most 128 lease calls of a kind in flight

Cause: every lease that was due was called in one step, each on a connection and a task of its own.

Change: due leases are called in the order in which they fell due, at most 128 in flight, at most 4 to one back end (as many connections as are kept to it), releases counted apart.

TestANewLeaderSpreadsItsLeaseCalls failed before (600 in flight) and passes; it also asks that no key is without a lease 2 s after the election.

--- a/internal/constants/sharding.go
+++ b/internal/constants/sharding.go
@@ -18,6 +18,11 @@
 	KeyLeaseTime = 500 * time.Millisecond
 	// KeyLeaseWait bounds a call that grants a lease: a far link and a busy machine.
 	KeyLeaseWait = 600 * time.Millisecond
+	// MaxLeaseCalls (calls) of each kind, grants and releases, are in flight at once: a new leader finds every lease due, and
+	// its heartbeats share the processor with the calls.
+	MaxLeaseCalls = 128
+	// MaxOwnerLeaseCalls (calls) to one back end that grant leases are in flight at once: as many as connections are kept to it.
+	MaxOwnerLeaseCalls = 4
 	// KeyDoubt is how long such a call may be unanswered before the back end's other leases are not renewed until it is: twice
 	// there and back over a far link, and a busy machine.
 	KeyDoubt = 200 * time.Millisecond
--- a/internal/sharding/leases.go
+++ b/internal/sharding/leases.go
@@ -5,8 +5,8 @@
 	"topazshed/internal/schema"
 )
 
-// renewLease sends a lease call for a shard when one is due, or a probe if the owner was unresponsive. It raises the
-// fence if the owner refused it.
+// renewLease notes that a lease call for a shard is due, or sends a probe if the owner was unresponsive. It raises the fence
+// if the owner refused it.
 func (p *planner) renewLease(s shard, backend *schema.Backend) {
 	lease := p.leaseProgressOf(s)
 	if lease.isRefused && !lease.isWaiting && !p.isChanging(s) && !p.isWithdrawn(s) {
@@ -23,7 +23,13 @@
 	if lease.isGranted && p.isDoubted(s.owner) {
 		return
 	}
-	lease.isWaiting = true
+	p.dueLeases = append(p.dueLeases, dueLease{s, backend, lease})
+}
+
+// grant sends a lease call.
+func (p *planner) grant(due dueLease) {
+	s := due.shard
+	due.progress.isWaiting = true
 	outstanding := &outstandingCall{
 		service:    p.service.Name,
 		instance:   s.owner,
@@ -32,7 +38,7 @@
 		isInFlight: true,
 	}
 	p.manager.outstandingCalls = append(p.manager.outstandingCalls, outstanding)
-	call := newCall(GrantLease, s, backend)
+	call := newCall(GrantLease, s, due.backend)
 	call.LeaseDuration = p.manager.leaseDuration
 	call.Handover = s.handover
 	call.Timeout = constants.KeyLeaseWait
@@ -73,7 +79,7 @@
 		progress = &releaseProgress{}
 		p.state.releases[s.id()] = progress
 	}
-	if progress.isReleased || !p.mayCall(&progress.callProgress) {
+	if progress.isReleased || !p.mayCall(&progress.callProgress) || !p.manager.budget.mayRelease() {
 		return
 	}
 	progress.isWaiting = true
@@ -95,6 +101,7 @@
 	p.manager.lastCallID++
 	call.ID = p.manager.lastCallID
 	call.Service = p.service.Name
+	p.manager.budget.note(call)
 	p.manager.pending[call.ID] = &pendingCall{call: call, sentAt: p.facts.Now, outstanding: outstanding}
 	p.effects.Calls = append(p.effects.Calls, call)
 }
--- a/internal/sharding/planner.go
+++ b/internal/sharding/planner.go
@@ -21,6 +21,8 @@
 	keyLoad  keyLoad
 	// weights are the shares of load and keys of each instance, the moves under way counted.
 	weights map[string]float64
+	// dueLeases are the shards whose lease calls are due.
+	dueLeases []dueLease
 	// doubted holds the instances that are slow to answer a lease call; nil until isDoubted is first asked.
 	doubted map[string]bool
 }
@@ -45,6 +47,7 @@
 	for _, s := range p.shards {
 		p.advance(s)
 	}
+	p.grantDueLeases()
 	p.evacuate()
 	p.balance()
 	p.merge()
--- a/internal/sharding/sharding.go
+++ b/internal/sharding/sharding.go
@@ -38,7 +38,9 @@
 	lastCallID       uint64
 	pending          map[uint64]*pendingCall
 	outstandingCalls []*outstandingCall
-	services         map[string]*serviceState
+	// budget counts the calls in flight during a step.
+	budget   *callBudget
+	services map[string]*serviceState
 	// ended are the instances whose process has certainly ended, since another one answered at its address. Silence, a
 	// refused connection and a missing line in the list are no proof.
 	ended map[string]bool
@@ -95,6 +97,7 @@
 		m.homeRegionsHead = facts.View.Head
 	}
 	var effects Effects
+	m.budget = newCallBudget(m.pending)
 	m.ranges = 0
 	for _, name := range slices.Sorted(maps.Keys(facts.View.Services)) {
 		service := facts.View.Services[name]
