sharding: home regions move keys once they have settled, 32 ranges at a time

Cause: the owners of a keyed service follow the home regions of its routes. Every move is two records, a release, a grant and rows for all readers; from the first one on the leader used its whole share.

Change: other home regions count once they have been the same for 4 s, and then 32 ranges are on their way at once. The first layout follows them at once; so does a new leader, which does not know what its predecessor had.

TestKeysStayWhileHomesChangeAgainAndAgain failed before (all keys moved nine times, 33 of 40 without a lease) and passes (none moved during the changes, all in the last home 20 s later).

--- a/internal/constants/sharding.go
+++ b/internal/constants/sharding.go
@@ -66,6 +66,11 @@
 	// KeyLeaveStep is the time between two such parts: all are on their way in 0.75 s of the 2.5 s that a draining back end
 	// serves.
 	KeyLeaveStep = 250 * time.Millisecond
+	// KeyHomesSettle is how long other home regions must be the same before keys move for them: a row of changes moves them
+	// once.
+	KeyHomesSettle = 4 * time.Second
+	// MaxKeyHomeMoves (ranges) of a service are on their way into home regions at once.
+	MaxKeyHomeMoves = 32
 	// MaxKeyPieces (ranges) are what a freed range is split into at most.
 	MaxKeyPieces = 8
 	// MinKeyLoad (requests in flight) is the total below which load says nothing.
--- a/internal/sharding/moves.go
+++ b/internal/sharding/moves.go
@@ -120,8 +120,7 @@
 	mustLeave = isExcluded ||
 		backend.Failing ||
 		backend.State == schema.BackendState_BACKEND_DRAINING ||
-		p.isInEmptiedZone(backend) ||
-		p.isOutsideHomeRegions(backend)
+		p.isInEmptiedZone(backend)
 	return mustLeave, !isExcluded
 }
 
--- a/internal/sharding/planner.go
+++ b/internal/sharding/planner.go
@@ -35,6 +35,7 @@
 	})
 	p.keyLoad = newKeyLoad(p.facts.Load[p.service.Name])
 	p.forgetStale()
+	p.settleHomes()
 	p.eligible = p.listEligible()
 	if len(p.shards) == 0 {
 		p.layOut()
@@ -49,6 +50,7 @@
 	}
 	p.grantDueLeases()
 	p.evacuate()
+	p.moveHome()
 	p.balance()
 	p.merge()
 }
--- a/internal/sharding/state.go
+++ b/internal/sharding/state.go
@@ -64,8 +64,14 @@
 	// excludedUntil holds the back ends that get no shards for a while because they could not be reached.
 	excludedUntil map[string]time.Duration
 	evacuations   map[string]evacuation
-	isUneven      bool
-	unevenSince   time.Duration
+	// homes are the home regions in force, once hasHomes is true; nextHomes are other ones since homesChangedAt, 0 if there
+	// are none.
+	hasHomes       bool
+	homes          *homeRegions
+	nextHomes      *homeRegions
+	homesChangedAt time.Duration
+	isUneven       bool
+	unevenSince    time.Duration
 }
 
 func newServiceState() *serviceState {
