--- a/internal/gateway/front_test.go
+++ b/internal/gateway/front_test.go
@@ -44,7 +44,7 @@
 		w.put(store.RouteKey(route.Host, prefix), route)
 	}
 	w.put(store.LimitsKey, &schema.Limits{BodyBytes: 1 << 20})
-	local := &controlplane.Local{View: w.settle()}
+	local := &controlplane.Local{View: w.settle(), FreshAt: time.Hour}
 	random := rand.New(rand.NewPCG(1, 2))
 	var lock sync.Mutex
 	begun := time.Now()
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -56,6 +56,11 @@
 	route := local.View.Route(hostOf(r), pathOf(r))
 	if route == nil {
 		g.logNoRoute(local, begun)
+		if g.mayLackRoutes(local, begun) {
+			retryAfter := ComeBack(constants.RefuseAfterMove, g.waitOf(r, constants.RefuseUnknown), g.options.Draw)
+			g.refuse(w, id, RefusalNotReady, "this node's configuration is not confirmed; another node may know the route", retryAfter)
+			return
+		}
 		message := "no route of this host begins the path; see the configuration"
 		g.respond(w, id, ownResponse{Status: http.StatusNotFound, Kind: kindNoRoute, Message: message})
 		return
@@ -72,6 +77,13 @@
 	g.serveRoute(w, r, local, &options)
 }
 
+// mayLackRoutes tells whether a configuration may be in force that this node does not know: a majority has not confirmed its
+// rows for so long that one acknowledged since must be in force, and a deposed leader may have confirmed them last.
+func (g *Gateway) mayLackRoutes(local *controlplane.Local, now time.Duration) bool {
+	within := g.options.Bounds.ApplyWithin
+	return within > 0 && now-local.FreshAt+constants.DeposedLeaderSpan >= within
+}
+
 // logNoRoute logs, at most once in noRouteLogEvery, by how old a state a request was answered that no route fits.
 func (g *Gateway) logNoRoute(local *controlplane.Local, now time.Duration) {
 	last := g.noRouteLoggedAt.Load()
