--- a/internal/adminapi/routed_status_test.go
+++ b/internal/adminapi/routed_status_test.go
@@ -42,7 +42,9 @@
 		store.EncodeRow(store.RouteKey("one.example", "/c/"), &schema.Route{Host: "one.example", Prefix: "/c/", Targets: []*schema.Target{{Service: "copper", Weight: 1}}}),
 	}}, nil)
 	view := store.Compile(table)
-	return Options{Self: &schema.Node{Id: "n1", Region: "mu", Disk: true}, Now: func() time.Duration { return time.Hour }, Local: func() *controlplane.Local { return &controlplane.Local{View: view, Role: "leader", Rows: 15, FreshAt: time.Hour} },
+	return Options{Self: &schema.Node{Id: "n1", Region: "mu", Disk: true}, Now: func() time.Duration { return time.Hour }, Local: func() *controlplane.Local {
+		return &controlplane.Local{View: view, Role: "leader", Rows: 15, FreshAt: time.Hour}
+	},
 		Operate: func(_ context.Context, q *schema.OperatorRequest) (*schema.OperatorResponse, error) {
 			if seen != nil {
 				*seen = q
--- a/internal/node/list_reader_test.go
+++ b/internal/node/list_reader_test.go
@@ -31,3 +31,32 @@
 		}
 	}
 }
+
+// Guards against requests to a back end that leaves (DRAIN): the waits between the list and the farthest node took the whole bound.
+func TestADrainingBackEndIsKnownEverywhereWithinTheBound(t *testing.T) {
+	const (
+		bound   = 2500 * time.Millisecond
+		farWay  = 35 * time.Millisecond
+		farPage = 2*farWay + 5*time.Millisecond
+		sync    = 30 * time.Millisecond
+	)
+	for _, pages := range []int{1, 2, 6, 7, 14} {
+		reader := &listReader{bounds: Bounds{ListRate: 50, DrainWithin: bound}}
+		waits := []time.Duration{
+			reader.pauseAfter(pages),               // until the next read begins
+			time.Duration(min(pages, 7)) * farPage, // until it comes to the back end's page; later pages are reported as they come
+			lateTick,                               // the leader's next step, on a busy machine
+			2*farWay + sync,                        // the record's commit
+			farWay,                                 // the commit index to a far voter
+			constants.RoutedTick,                   // its delta to a reader
+			farWay,                                 // the reader on a far link
+		}
+		worst := time.Duration(0)
+		for _, wait := range waits {
+			worst += wait
+		}
+		if worst > bound {
+			t.Errorf("a list of %d pages: known everywhere only after %v (%v)", pages, worst, waits)
+		}
+	}
+}
