replication: rows of the greatest age that is told count as never confirmed

What callers might see: a node that took rows from a voter without a leader, after both had been started again, counted as ready by them (CONFIG; not seen in the records, found by looking for the same cause elsewhere).

Cause: a publisher bounds the age it tells to a minute, also for rows that were never confirmed; the reader took them for confirmed a minute ago, which is an instant after 0.

--- a/internal/replication/publisher.go
+++ b/internal/replication/publisher.go
@@ -11,7 +11,7 @@
 	"topazshed/internal/schema"
 )
 
-// maxReportedAge bounds the age that a delta tells of its rows.
+// maxReportedAge bounds the age that a delta tells of its rows. Rows of that age may never have been confirmed.
 const maxReportedAge = time.Minute
 
 // PublishedTable is the table that a Publisher reads; it never changes it.
--- a/internal/replication/subscription.go
+++ b/internal/replication/subscription.go
@@ -204,7 +204,9 @@
 	for _, prefix := range delta.Whole {
 		s.setHeld(prefix, true)
 	}
-	s.freshAt = max(s.freshAt, askedAt-age)
+	if age < maxReportedAge {
+		s.freshAt = max(s.freshAt, askedAt-age)
+	}
 	effects := Effects{IsInstalled: true, Changed: changed}
 	if delta.Leader != "" && age < constants.NodeLostAfter {
 		effects.Leader = &LeaderHint{Address: delta.Leader, SeenAt: now - age}
--- a/internal/replication/subscription_test.go
+++ b/internal/replication/subscription_test.go
@@ -235,6 +235,7 @@
 	}{
 		{"counted from the subscription", 100 * time.Millisecond, "l", begin - 100*time.Millisecond, true},
 		{"no leader is told", 0, "", begin, false},
+		{"never confirmed, or a minute ago", maxReportedAge, "l", 0, false},
 		{"the leader was seen too long ago", constants.NodeLostAfter, "l", begin - constants.NodeLostAfter, false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
