--- a/internal/controlplane/catch_up_test.go
+++ b/internal/controlplane/catch_up_test.go
@@ -10,6 +10,7 @@
 	"topazshed/internal/constants"
 	"topazshed/internal/journal"
 	"topazshed/internal/schema"
+	"topazshed/internal/testseeds"
 )
 
 // largeRoutesOf is a configuration whose document can't be packed.
@@ -64,7 +65,7 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
-			forEachSeed(t, 2, func(t *testing.T, seed int64) {
+			testseeds.Each(t, 2, func(t *testing.T, seed int64) {
 				w := newSizedWorld(t, seed, 3, 0, journal.Options{Files: 4, FileBytes: 2 << 20, SnapshotBytes: 4 << 20})
 				away := w.machines[1]
 				if away == w.leader() {
--- a/internal/controlplane/cut_off_test.go
+++ b/internal/controlplane/cut_off_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"topazshed/internal/schema"
+	"topazshed/internal/testseeds"
 )
 
 func routesOf(generation, base uint64, text string) *schema.OperatorRequest {
@@ -45,7 +46,7 @@
 		for _, isFrozen := range []bool{false, true} {
 			t.Run(fmt.Sprintf("%s, frozen %v", c.name, isFrozen), func(t *testing.T) {
 				t.Parallel()
-				forEachSeed(t, 6, func(t *testing.T, seed int64) {
+				testseeds.Each(t, 6, func(t *testing.T, seed int64) {
 					w := newWorld(t, seed, 6, 1)
 					former := w.leader()
 					w.put(former, routesOf(1, 0, "one"))
@@ -110,7 +111,7 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
-			forEachSeed(t, 20, func(t *testing.T, seed int64) {
+			testseeds.Each(t, 20, func(t *testing.T, seed int64) {
 				w := newWorld(t, seed, 6, 3)
 				reader := w.machines[6]
 				w.put(w.leader(), routesOf(1, 0, "one"))
--- a/internal/controlplane/fresh_test.go
+++ b/internal/controlplane/fresh_test.go
@@ -3,12 +3,13 @@
 import (
 	"testing"
 	"time"
+	"topazshed/internal/testseeds"
 )
 
 // Guards against old rows in force after a restart (CONFIG): a node without a disk took rows for confirmed that it got from a
 // voter which, after its own start, had heard of no leader.
 func TestRowsOfAVoterWithoutALeaderAreNotConfirmed(t *testing.T) {
-	forEachSeed(t, 6, func(t *testing.T, seed int64) {
+	testseeds.Each(t, 6, func(t *testing.T, seed int64) {
 		w := newWorld(t, seed, 3, 1)
 		reader, voter := w.machines[3], w.machines[0]
 		w.put(w.leader(), routesOf(1, 0, "one"))
--- a/internal/controlplane/history_test.go
+++ b/internal/controlplane/history_test.go
@@ -10,6 +10,7 @@
 	"github.com/anishathalye/porcupine"
 
 	"topazshed/internal/schema"
+	"topazshed/internal/testseeds"
 )
 
 // A register that holds the newest configuration: it is put on top of the version that it holds, one that was taken is taken again, and it is read.
@@ -287,7 +288,7 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
-			forEachSeed(t, 8, func(t *testing.T, seed int64) {
+			testseeds.Each(t, 8, func(t *testing.T, seed int64) {
 				w := newWorld(t, seed, 6, 2)
 				o := &operators{w: w, ackLoss: c.ackLoss}
 				w.loss = c.loss
--- a/internal/controlplane/losses_test.go
+++ b/internal/controlplane/losses_test.go
@@ -10,6 +10,7 @@
 	"topazshed/internal/operations"
 	"topazshed/internal/schema"
 	"topazshed/internal/sim"
+	"topazshed/internal/testseeds"
 )
 
 // tolerated is what a fleet must bear at once, again and again.
@@ -100,7 +101,7 @@
 	} {
 		t.Run(fmt.Sprintf("%d voters that bear the loss of %d", bears.voters, bears.machines), func(t *testing.T) {
 			t.Parallel()
-			forEachSeed(t, 3, func(t *testing.T, seed int64) {
+			testseeds.Each(t, 3, func(t *testing.T, seed int64) {
 				w := newWorld(t, seed, bears.voters, 0)
 				o := &operators{w: w}
 				version := uint64(0)
--- a/internal/controlplane/world_test.go
+++ b/internal/controlplane/world_test.go
@@ -7,8 +7,6 @@
 	"io"
 	"log/slog"
 	"math/rand"
-	"os"
-	"strconv"
 	"testing"
 	"time"
 
@@ -87,29 +85,6 @@
 	return last
 }
 
-// seeds is how many seeds a test plays: the fewest that CI plays at each run, or as many as TOPAZSHED_SEEDS says.
-func seeds(t *testing.T, fewest int64) int64 {
-	text := os.Getenv("TOPAZSHED_SEEDS")
-	if text == "" {
-		return fewest
-	}
-	count, err := strconv.ParseInt(text, 10, 64)
-	if err != nil {
-		t.Fatalf("TOPAZSHED_SEEDS is %q; give a number", text)
-	}
-	return count
-}
-
-// forEachSeed plays the seeds of a test side by side, each in a subtest of its own.
-func forEachSeed(t *testing.T, fewest int64, play func(t *testing.T, seed int64)) {
-	for seed := range seeds(t, fewest) {
-		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
-			t.Parallel()
-			play(t, seed)
-		})
-	}
-}
-
 const (
 	worldTick = constants.RoutedTick
 	farWay    = 20 * time.Millisecond
--- a/internal/raft/random_faults_test.go
+++ b/internal/raft/random_faults_test.go
@@ -3,15 +3,14 @@
 import (
 	"fmt"
 	"math/rand"
-	"os"
 	"slices"
-	"strconv"
 	"testing"
 	"time"
 
 	"google.golang.org/protobuf/proto"
 
 	"topazshed/internal/schema"
+	"topazshed/internal/testseeds"
 )
 
 // simulation drives members at random. Messages are lost, repeated, late and out of order; members are partitioned, also
@@ -320,14 +319,7 @@
 }
 
 func TestAgreementUnderRandomFaults(t *testing.T) {
-	count := int64(40)
-	if text := os.Getenv("TOPAZSHED_SEEDS"); text != "" {
-		given, err := strconv.ParseInt(text, 10, 64)
-		if err != nil {
-			t.Fatalf("TOPAZSHED_SEEDS is %q; give a number", text)
-		}
-		count = given
-	}
+	count := testseeds.Count(t, 40)
 	var records, terms, snapshots int
 	for seed := range count {
 		s := newSimulation(t, seed, 3+int(seed%4))
--- a/internal/sharding/storm_test.go
+++ b/internal/sharding/storm_test.go
@@ -2,59 +2,42 @@
 
 import (
 	"fmt"
-	"os"
-	"strconv"
 	"testing"
 	"time"
 
 	"topazshed/internal/constants"
 	"topazshed/internal/schema"
 	"topazshed/internal/store"
+	"topazshed/internal/testseeds"
 )
 
-// stormSeeds is how many seeds the storm plays: few at each run of CI, or as many as TOPAZSHED_SEEDS says.
-func stormSeeds(t *testing.T) int64 {
-	text := os.Getenv("TOPAZSHED_SEEDS")
-	if text == "" {
-		return 8
-	}
-	count, err := strconv.ParseInt(text, 10, 64)
-	if err != nil {
-		t.Fatalf("TOPAZSHED_SEEDS is %q; give a number", text)
-	}
-	return count
-}
-
 // Guards against two owners of a key and against a leader that has too much to do (OWNER, CONFIG): many back ends, cuts that refuse
 // or drop calls, crashes, changed leaders and home regions overlap, in rows of several within a second.
 func TestLeasesInAStormOfFaultsAndChanges(t *testing.T) {
-	for seed := range stormSeeds(t) {
-		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
-			t.Parallel()
-			w := newWorld(t, seed, 24+int(seed%3)*24, "a")
-			for i := range 3 {
-				zone := fmt.Sprintf("d%d", i)
-				w.put(store.EncodeRow(store.ZoneKey(zone), &schema.Zone{Name: zone, Region: fmt.Sprintf("r%d", i)}))
-			}
-			w.hasFaults = true
-			most := w.storm(40 * time.Second)
-			if w.violations > 0 {
-				t.Fatalf("%d times a key had two lease holders", w.violations)
-			}
-			if most > constants.MaxLeaseCalls {
-				t.Errorf("%d lease calls were in flight at once", most)
-			}
-			w.hasFaults = false
-			w.run(12 * time.Second)
-			for _, backend := range w.owners {
-				backend.cutUntil = 0
-			}
-			w.run(30 * time.Second)
-			if count := w.unleased(); count > 0 || w.violations > 0 {
-				t.Fatalf("after the calm %d keys have no lease, %d times one had two holders", count, w.violations)
-			}
-		})
-	}
+	testseeds.Each(t, 8, func(t *testing.T, seed int64) {
+		w := newWorld(t, seed, 24+int(seed%3)*24, "a")
+		for i := range 3 {
+			zone := fmt.Sprintf("d%d", i)
+			w.put(store.EncodeRow(store.ZoneKey(zone), &schema.Zone{Name: zone, Region: fmt.Sprintf("r%d", i)}))
+		}
+		w.hasFaults = true
+		most := w.storm(40 * time.Second)
+		if w.violations > 0 {
+			t.Fatalf("%d times a key had two lease holders", w.violations)
+		}
+		if most > constants.MaxLeaseCalls {
+			t.Errorf("%d lease calls were in flight at once", most)
+		}
+		w.hasFaults = false
+		w.run(12 * time.Second)
+		for _, backend := range w.owners {
+			backend.cutUntil = 0
+		}
+		w.run(30 * time.Second)
+		if count := w.unleased(); count > 0 || w.violations > 0 {
+			t.Fatalf("after the calm %d keys have no lease, %d times one had two holders", count, w.violations)
+		}
+	})
 }
 
 // storm brings faults and changes of home regions about in rows, and gives the most grants that were in flight at once.
