--- a/internal/controlplane/operator.go
+++ b/internal/controlplane/operator.go
@@ -26,7 +26,7 @@
 
 func newOperations(c *Machine) *operations.Manager {
 	host := operatorHost{c}
-	options := operations.Options{Log: host, Proposer: c.proposals, State: host, Fleet: host, Sender: host}
+	options := operations.Options{Log: host, Proposer: c.proposals, State: host, Fleet: host, Sender: host, Logger: c.log}
 	if c.options.Routes != nil {
 		options.Routes = &operations.RouteOptions{Fits: c.options.Routes.Fits, FitsSnapshot: c.options.Routes.FitsSnapshot}
 	}
--- a/internal/controlplane/state.go
+++ b/internal/controlplane/state.go
@@ -1,12 +1,17 @@
 package controlplane
 
 import (
+	"time"
+
 	"topazshed/internal/proposals"
 	"topazshed/internal/raft"
 	"topazshed/internal/schema"
 	"topazshed/internal/statemachine"
 )
 
+// lateCommit is the time from a proposal to its commit from which on it is logged: twice that of far voters with slow disks.
+const lateCommit = 300 * time.Millisecond
+
 // Snapshot gives the snapshot at the applied index, for a follower or for the disk.
 func (c *Machine) Snapshot() *schema.Snapshot {
 	snapshot := c.state.Table().Snapshot()
@@ -65,6 +70,9 @@
 		c.log.Info("members", "voters", len(members.Voters), "learners", len(members.Learners), "reason", item.Record.Reason)
 	}
 	position := proposals.Position{Index: raft.Index(item.Index), Term: raft.Term(item.Term)}
+	if took := c.proposals.Took(c.now, position.Index); took >= lateCommit {
+		c.log.Warn("a record was committed late", "index", item.Index, "reason", item.Record.Reason, "milliseconds", took.Milliseconds())
+	}
 	if c.operations.Applied(c.now, position, applied.Void != nil) {
 		c.duties.PlanNow()
 	}
--- a/internal/leader/endpoints.go
+++ b/internal/leader/endpoints.go
@@ -1,6 +1,8 @@
 package leader
 
 import (
+	"time"
+
 	"topazshed/internal/discovery"
 	"topazshed/internal/schema"
 )
@@ -57,8 +59,13 @@
 		e.listing = nil
 		return
 	}
-	if t.propose(record) {
-		e.listing = nil
-		t.logger.Info("back ends change", "rows", len(record.Rows))
+	if !t.propose(record) {
+		return
+	}
+	sinceRead := time.Duration(0)
+	if e.listing != nil {
+		sinceRead = t.Now - e.listing.BegunAt
 	}
+	e.listing = nil
+	t.logger.Info("back ends change", "rows", len(record.Rows), "sinceReadMilliseconds", sinceRead.Milliseconds())
 }
--- a/internal/operations/host_test.go
+++ b/internal/operations/host_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"log/slog"
 	"testing"
 	"time"
 
@@ -60,7 +61,7 @@
 		sends:     map[string][]*schema.Frame{},
 		responses: map[Ticket]*schema.OperatorResponse{},
 	}
-	h.manager = New(Options{Log: h, Proposer: h, State: h, Fleet: h, Sender: h, Routes: routes})
+	h.manager = New(Options{Log: h, Proposer: h, State: h, Fleet: h, Sender: h, Routes: routes, Logger: slog.New(slog.DiscardHandler)})
 	return h
 }
 
--- a/internal/operations/operations.go
+++ b/internal/operations/operations.go
@@ -10,6 +10,7 @@
 package operations
 
 import (
+	"log/slog"
 	"time"
 
 	"topazshed/internal/constants"
@@ -74,6 +75,7 @@
 	State    State
 	Fleet    Fleet
 	Sender   Sender
+	Logger   *slog.Logger
 	// Routes is set in a fleet of routes, and nil in a fleet of entries.
 	Routes *RouteOptions
 }
@@ -93,6 +95,7 @@
 	state    State
 	fleet    Fleet
 	sender   Sender
+	logger   *slog.Logger
 	policy   policy
 	deciders map[schema.OperatorKind]decider
 	// now is the time of the call in progress.
@@ -122,6 +125,7 @@
 		state:    options.State,
 		fleet:    options.Fleet,
 		sender:   options.Sender,
+		logger:   options.Logger,
 		policy:   entriesPolicy,
 		reads:    map[uint64]*pendingRequest{},
 	}
--- a/internal/operations/propose.go
+++ b/internal/operations/propose.go
@@ -17,6 +17,16 @@
 	}
 	p.position, p.version = position, wanted.version
 	m.proposed = append(m.proposed, p)
+	m.logZone(p)
+}
+
+// logZone logs that a change of a zone is proposed, who made the request and how long ago it came to this node.
+func (m *Manager) logZone(p *pendingRequest) {
+	if p.request.Zone == "" {
+		return
+	}
+	m.logger.Info("a change of a zone is proposed", "zone", p.request.Zone, "kind", p.request.Kind.String(), "from", p.origin.address,
+		"index", p.position.Index, "heldMilliseconds", (m.now - p.bornAt).Milliseconds())
 }
 
 // Applied takes the word that a record is applied, or void because its guards failed. It tells whether a request was accepted by it.
--- a/internal/proposals/proposals.go
+++ b/internal/proposals/proposals.go
@@ -37,11 +37,13 @@
 	log     Log
 	state   State
 	indexes map[string]raft.Index
+	// proposedAt is when each record was proposed that is not applied yet.
+	proposedAt map[raft.Index]time.Duration
 }
 
 // New gives a proposer with nothing in flight.
 func New(log Log, state State) *Proposer {
-	return &Proposer{log: log, state: state, indexes: map[string]raft.Index{}}
+	return &Proposer{log: log, state: state, indexes: map[string]raft.Index{}, proposedAt: map[raft.Index]time.Duration{}}
 }
 
 // IsInFlight tells whether a row was proposed and the proposal is not applied yet.
@@ -71,12 +73,24 @@
 	for _, row := range record.Rows {
 		p.indexes[row.Key] = index
 	}
+	p.proposedAt[index] = now
 	return Position{Index: index, Term: term}, nil
 }
 
 // Reset forgets all proposals; a node that no longer leads doesn't know what became of them.
 func (p *Proposer) Reset() {
 	p.indexes = map[string]raft.Index{}
+	p.proposedAt = map[raft.Index]time.Duration{}
+}
+
+// Took gives, once, how long ago a record was proposed here; 0 is that it was not, or was asked for before.
+func (p *Proposer) Took(now time.Duration, index raft.Index) time.Duration {
+	proposedAt, isKnown := p.proposedAt[index]
+	if !isKnown {
+		return 0
+	}
+	delete(p.proposedAt, index)
+	return now - proposedAt
 }
 
 func (p *Proposer) isAnyInFlight(record *schema.Record) bool {
