gateway: a choice that the rows have overtaken is not sent

Cause: a back end is chosen by the rows, then a connection is made, which may take 400 ms, and the request was sent without another look at the rows. Class of fault: a decision that is acted on after what it rests on has changed. Change: once connected, the request machine checks that the rows would still allow the choice: the back end is there, at that address, open (its zone too), not cold unless it was chosen as such, and owns the key without a release. If not, it chooses anew; the connection goes back to the pool, now under the instance that it leads to and not under that of the newest choice. Overtaken choices are counted.

--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -111,7 +111,7 @@
 // ownerOf is the untried, open back end that owns the request's key, or nil.
 func (s *Situation) ownerOf(service *store.Service) *schema.Backend {
 	shard := service.ShardRange(s.Key)
-	if shard == nil || shard.Releasing || slices.Contains(s.Tried, shard.Instance) {
+	if shard == nil || !owns(service, s.Key, shard.Instance) || slices.Contains(s.Tried, shard.Instance) {
 		return nil
 	}
 	backend := service.Backend(shard.Instance)
@@ -121,6 +121,12 @@
 	return backend
 }
 
+// owns tells whether a back end owns a key and goes on to.
+func owns(service *store.Service, key uint32, instance string) bool {
+	shard := service.ShardRange(key)
+	return shard != nil && !shard.Releasing && shard.Instance == instance
+}
+
 // isAllowed tells whether a request may go to a region: one with an active group, or any unless the route names home regions.
 func (s *Situation) isAllowed(groups []failover.ActiveGroup, region string) bool {
 	if slices.ContainsFunc(groups, func(g failover.ActiveGroup) bool { return g.Region == region }) {
--- a/internal/gateway/execution.go
+++ b/internal/gateway/execution.go
@@ -20,8 +20,9 @@
 	exchange exchange
 	machine  RequestMachine
 
-	// conn is the open connection to a back end, or nil; isReusable says that it may go back to the pool.
+	// conn is the open connection to the back end instance, or nil; isReusable says that it may go back to the pool.
 	conn       *Conn
+	instance   string
 	isReusable bool
 	// answer is the response that was read on conn, or nil.
 	answer *Answer
@@ -37,7 +38,10 @@
 	event := Event{Kind: EventBegun}
 	for isDone := false; !isDone; {
 		order := e.machine.Next(e.now(), e.gateway.options.Local().View, event)
-		if e.conn != nil && order.Kind != OrderSend && order.Kind != OrderPass {
+		switch {
+		case event.Kind == EventConnected && order.Kind != OrderSend:
+			e.returnUnused()
+		case e.conn != nil && order.Kind != OrderSend && order.Kind != OrderPass:
 			e.releaseConn(e.isReusable)
 		}
 		event, isDone = e.perform(ctx, order)
@@ -66,14 +70,23 @@
 func (e *execution) releaseConn(isReusable bool) {
 	conn := e.conn
 	e.conn = nil
-	backend := e.machine.choice.Backend
-	if isReusable && e.answer != nil && e.answer.isReadToItsEnd() && conn.reader.Buffered() == 0 && backend != nil {
-		e.gateway.pool.Put(backend.Instance, conn)
+	if isReusable && e.answer != nil && e.answer.isReadToItsEnd() && conn.reader.Buffered() == 0 {
+		e.gateway.pool.Put(e.instance, conn)
 		return
 	}
 	conn.Close()
 }
 
+// returnUnused gives a connection back on which nothing was sent, since its back end was closed to requests while it was made.
+func (e *execution) returnUnused() {
+	conn := e.conn
+	e.conn = nil
+	e.gateway.loads.End(e.instance, 0, false)
+	e.gateway.stats.Overtaken.Add(1)
+	e.gateway.options.Log.Debug("overtaken", "id", e.exchange.id, "instance", e.instance, "ms", e.elapsed().Milliseconds())
+	e.gateway.pool.Put(e.instance, conn)
+}
+
 func (e *execution) connect(ctx context.Context, order Order) Event {
 	g, instance := e.gateway, order.Backend.Instance
 	e.answer = nil
@@ -82,6 +95,7 @@
 	conn, err := g.pool.Get(ctx, order.Backend, order.Wait, e.machine.Route.Repeatable)
 	if err == nil {
 		e.conn = conn
+		e.instance = instance
 		return Event{Kind: EventConnected}
 	}
 	g.loads.End(instance, 0, false)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -76,6 +76,8 @@
 	Failed      atomic.Uint64
 	Repeats     atomic.Uint64
 	Connections atomic.Uint64
+	// Overtaken are the choices that were given up since the rows changed while the connection was made.
+	Overtaken atomic.Uint64
 }
 
 // Gateway takes requests from callers.
@@ -109,6 +111,7 @@
 		"doubtful":    g.stats.Failed.Load(),
 		"repeats":     g.stats.Repeats.Load(),
 		"connections": g.stats.Connections.Load(),
+		"overtaken":   g.stats.Overtaken.Load(),
 	}
 }
 
--- a/internal/gateway/overtaken_test.go
+++ b/internal/gateway/overtaken_test.go
@@ -1,9 +1,11 @@
 package gateway
 
 import (
+	"net/http"
 	"slices"
 	"testing"
 
+	"topazshed/internal/controlplane"
 	"topazshed/internal/schema"
 	"topazshed/internal/store"
 )
@@ -62,3 +64,40 @@
 		})
 	}
 }
+
+// Guards against the same over real connections: the first back end drains while the gateway connects to it, gets nothing, and
+// its connection is not lost.
+func TestARequestGoesElsewhereWhenItsBackEndDrainsMeanwhile(t *testing.T) {
+	for _, method := range []string{"GET", "POST"} {
+		t.Run(method, func(t *testing.T) {
+			near, far := newStandIn(t, saying(fine)), newStandIn(t, saying(fine))
+			f := newFront(t, near, far)
+			before := f.gateway.options.Local()
+			w := newWorld(t)
+			w.backend("i-0", "kol-a", near.address(), isDraining)
+			w.backend("i-1", "tor-a", far.address())
+			after := &controlplane.Local{View: w.settle(), FreshAt: before.FreshAt}
+			// The request itself and its first choice go by the rows before.
+			looks := 0
+			f.gateway.options.Local = func() *controlplane.Local {
+				if looks++; looks <= 2 {
+					return before
+				}
+				return after
+			}
+			got := f.do(f.request(method, "/once/x", nil))
+			if got.err != nil || got.status != http.StatusOK {
+				t.Fatalf("%d %v", got.status, got.err)
+			}
+			if len(near.got()) != 0 || len(far.got()) != 1 {
+				t.Errorf("%d requests reached the draining back end, %d the other", len(near.got()), len(far.got()))
+			}
+			if overtaken := f.gateway.Stats()["overtaken"]; overtaken != 1 {
+				t.Errorf("%d overtaken choices are counted", overtaken)
+			}
+			if inFlight := f.gateway.loads.Read(f.gateway.options.Now(), "i-0").InFlight; inFlight != 0 {
+				t.Errorf("%d requests are counted as in flight at the draining back end", inFlight)
+			}
+		})
+	}
+}
--- a/internal/gateway/request_machine.go
+++ b/internal/gateway/request_machine.go
@@ -45,6 +45,8 @@
 	tried    []string
 	choice   Choice
 	chosenAt time.Duration
+	// chosenBy is the view that the choice rests on.
+	chosenBy *store.View
 	// mayRun says that a back end may have run the request.
 	mayRun bool
 	// reason is what went wrong last.
@@ -60,7 +62,10 @@
 func (m *RequestMachine) Next(now time.Duration, view *store.View, e Event) Order {
 	switch e.Kind {
 	case EventConnected:
-		return m.send(now)
+		if !m.isOvertaken(view) {
+			return m.send(now)
+		}
+		m.reason = "the back end was closed to requests while the connection was made"
 	case EventOversize:
 		return Order{Kind: OrderFail, Status: http.StatusRequestEntityTooLarge, Reason: e.Reason}
 	case EventAnswered:
@@ -97,6 +102,27 @@
 	return Order{Kind: OrderSend, Backend: m.choice.Backend}
 }
 
+// isOvertaken tells whether the rows have changed since the choice so that it would not be made again. Connecting takes time, and
+// nothing was sent yet.
+func (m *RequestMachine) isOvertaken(view *store.View) bool {
+	if view == m.chosenBy {
+		return false
+	}
+	service := view.Services[m.Service]
+	if service == nil {
+		return true
+	}
+	chosen := m.choice.Backend
+	backend := service.Backend(chosen.Instance)
+	if backend == nil || backend.Address != chosen.Address || !isOpen(view, backend) {
+		return true
+	}
+	if isCold(view, backend) && !m.choice.IsCold {
+		return true
+	}
+	return service.Policy.GetKeyed() && !owns(service, m.Key, chosen.Instance)
+}
+
 // exclude gives the present back end no further attempt.
 func (m *RequestMachine) exclude(reason string) {
 	m.reason = reason
@@ -152,6 +178,7 @@
 	}
 	m.choice = choice
 	m.chosenAt = now
+	m.chosenBy = view
 	return Order{Kind: OrderConnect, Backend: choice.Backend, Wait: min(constants.BackendConnect, m.Until-now)}
 }
 
