operations: an older call can't undo a newer change of a zone

Cause: a call that empties or restores a zone names no version. A caller that isn't answered within a second makes the same call at another node, and newer ones after it; the copy at the first node lived on and was carried out whenever that node went on: after it had stood still, after a cut, or when it came to lead (up to 5 s). So an old restore opened a zone that a newer, acknowledged call had emptied. Class of fault: a stale command without a fence. Change: the node that takes a call notes the index of the zone's row, then asks whether the caller still waits (its context, and a look at its socket, since a process that stood still finds the call and the connection's end together). The leader changes the row only from that index, by a guard of the record. A call made on an older row is decided once more on the newest one only while its caller waits; a call whose caller has gone is forwarded no more. Programs that name no base are served as before, for a fleet of two versions. Why it works: whatever the caller did after it gave up has another index; what it did before is in the index.

--- a/internal/controlplane/changes_test.go
+++ b/internal/controlplane/changes_test.go
@@ -55,7 +55,7 @@
 
 func (s *solo) ask(request *schema.OperatorRequest, zones ...string) *schema.OperatorResponse {
 	s.response = nil
-	s.control.Operate(s.now, 7, request)
+	s.control.Operate(s.now, 7, request, nil)
 	s.run(400*time.Millisecond, zones...)
 	return s.response
 }
--- a/internal/controlplane/forward_test.go
+++ b/internal/controlplane/forward_test.go
@@ -35,7 +35,7 @@
 			now := time.Hour
 			control := New(now, Options{Self: &schema.Node{Id: "n", Address: "n", Zone: "z", Region: "r"}, Seeds: []string{"s"}, System: "x", Draw: func(int64) int64 { return 0 },
 				Log: slog.New(slog.NewTextHandler(io.Discard, nil)), Routes: &RouteOptions{LongestLease: time.Second, ColdRate: func(*schema.ServicePolicy) int { return 1 }}})
-			control.Operate(now, 5, &schema.OperatorRequest{Kind: schema.OperatorKind_OPERATOR_SHOW})
+			control.Operate(now, 5, &schema.OperatorRequest{Kind: schema.OperatorKind_OPERATOR_SHOW}, nil)
 			control.Take()
 			for i, s := range c.steps {
 				if s.leader != "" {
@@ -91,7 +91,7 @@
 			control := New(now, Options{Self: &schema.Node{Id: "n", Address: "n", Zone: "z", Region: "r"}, Seeds: []string{"s"}, System: "x", Draw: func(int64) int64 { return 0 },
 				Log: slog.New(slog.NewTextHandler(io.Discard, nil)), Routes: &RouteOptions{LongestLease: time.Second, ColdRate: func(*schema.ServicePolicy) int { return 1 }}})
 			control.leader, control.leaderAt = "l", now
-			control.Operate(now, 5, &schema.OperatorRequest{Kind: schema.OperatorKind_OPERATOR_SHOW})
+			control.Operate(now, 5, &schema.OperatorRequest{Kind: schema.OperatorKind_OPERATOR_SHOW}, nil)
 			answer := &schema.Frame{System: "x", From: c.from, Address: c.from, Call: c.call, Response: true, Body: &schema.Frame_OperatorResponse{OperatorResponse: &schema.OperatorResponse{Version: 7}}}
 			control.Receive(now, answer)
 			if got := len(control.Take().Responses) == 1; got != c.want {
--- a/internal/controlplane/operator.go
+++ b/internal/controlplane/operator.go
@@ -18,10 +18,10 @@
 	Response *schema.OperatorResponse
 }
 
-// Operate takes a local operator's request; its response comes as an effect that bears the same ticket.
-func (c *Machine) Operate(now time.Duration, ticket operations.Ticket, request *schema.OperatorRequest) {
+// Operate takes a local operator's request; its response comes as an effect that bears the same ticket. A nil caller waits for ever.
+func (c *Machine) Operate(now time.Duration, ticket operations.Ticket, request *schema.OperatorRequest, caller operations.Caller) {
 	c.now = now
-	c.operations.Operate(now, ticket, request)
+	c.operations.Operate(now, ticket, request, caller)
 }
 
 func newOperations(c *Machine) *operations.Manager {
--- a/internal/controlplane/requests_test.go
+++ b/internal/controlplane/requests_test.go
@@ -92,7 +92,7 @@
 // operate gives a request to a machine, and gives its ticket.
 func (f *fleet) operate(at string, request *schema.OperatorRequest) operations.Ticket {
 	f.ticket++
-	f.machines[at].Operate(f.now, f.ticket, request)
+	f.machines[at].Operate(f.now, f.ticket, request, nil)
 	return f.ticket
 }
 
--- a/internal/controlplane/startup_world_test.go
+++ b/internal/controlplane/startup_world_test.go
@@ -305,7 +305,7 @@
 	}
 	f.putAt[version] = f.now
 	request := &schema.OperatorRequest{Kind: schema.OperatorKind_OPERATOR_PUT_ROUTES, Routes: startupConfig(version)}
-	f.step(leader, func() { leader.control.Operate(f.clock(leader), operations.Ticket(version), request) })
+	f.step(leader, func() { leader.control.Operate(f.clock(leader), operations.Ticket(version), request, nil) })
 }
 
 // settle puts the first configuration as soon as there is a leader, and gives the time from the start until every node held every row.
--- a/internal/controlplane/world_test.go
+++ b/internal/controlplane/world_test.go
@@ -338,6 +338,11 @@
 	w.operateWhile(m, request, func() bool { return true }, take)
 }
 
+// callerWhile is a caller that waits as long as a function tells so.
+type callerWhile func() bool
+
+func (c callerWhile) IsWaiting() bool { return c() }
+
 // operateWhile does the same for a caller that may give up.
 func (w *world) operateWhile(m *machine, request *schema.OperatorRequest, isWaiting func() bool, take func(*schema.OperatorResponse)) {
 	if !m.isUp {
@@ -347,7 +352,7 @@
 	ticket := m.ticket
 	m.answers[ticket] = take
 	w.on(m, time.Millisecond, func() {
-		m.control.Operate(w.now, ticket, proto.Clone(request).(*schema.OperatorRequest))
+		m.control.Operate(w.now, ticket, proto.Clone(request).(*schema.OperatorRequest), callerWhile(isWaiting))
 		m.performSoon()
 	})
 }
--- a/internal/controlplane/zones_test.go
+++ b/internal/controlplane/zones_test.go
@@ -58,7 +58,7 @@
 			for now := time.Hour; now < time.Hour+8*time.Second; now += 20 * time.Millisecond {
 				control.Tick(now)
 				if now == time.Hour+6*time.Second {
-					control.Operate(now, 1, &schema.OperatorRequest{Kind: schema.OperatorKind_OPERATOR_EMPTY, Zone: c.zone})
+					control.Operate(now, 1, &schema.OperatorRequest{Kind: schema.OperatorKind_OPERATOR_EMPTY, Zone: c.zone}, nil)
 				}
 				for range 8 {
 					effects := control.Take()
--- a/internal/node/listeners.go
+++ b/internal/node/listeners.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"topazshed/internal/constants"
+	"topazshed/internal/sockets"
 )
 
 // headerLimit (bytes) bounds the header of a request on every listener.
@@ -53,6 +54,7 @@
 		ReadHeaderTimeout: timeouts.header,
 		IdleTimeout:       timeouts.idle,
 		MaxHeaderBytes:    headerLimit,
+		ConnContext:       sockets.WithConn,
 		ErrorLog:          slog.NewLogLogger(n.log.With("part", part).Handler(), slog.LevelDebug),
 	}
 	n.servers = append(n.servers, server)
--- a/internal/operations/decide_test.go
+++ b/internal/operations/decide_test.go
@@ -97,7 +97,7 @@
 
 func TestAFleetOfEntriesTakesNoRoutes(t *testing.T) {
 	h := newHost(t, nil)
-	h.manager.Operate(h.now, ticket, putRoutes(1, 0, "{}"))
+	h.manager.Operate(h.now, ticket, putRoutes(1, 0, "{}"), nil)
 	h.check(ticket, isUnknown)
 }
 
--- a/internal/operations/forward.go
+++ b/internal/operations/forward.go
@@ -58,7 +58,7 @@
 		return
 	}
 	m.forwarded = slices.Delete(m.forwarded, at, at+1)
-	m.sender.Respond(ticket, response)
+	m.respond(p, response)
 }
 
 // mayForwardAgain tells that a response says only that another node must be asked, and that there is time to do so.
@@ -77,6 +77,9 @@
 			continue
 		}
 		switch {
+		case p.origin.isGone():
+			m.removeForwarded(p)
+			m.refuse(p, callerGone())
 		case m.log.IsLeading():
 			m.removeForwarded(p)
 			m.handle(p)
--- a/internal/operations/forward_test.go
+++ b/internal/operations/forward_test.go
@@ -18,11 +18,11 @@
 
 func TestEntriesAreForwardedOnceOrRefused(t *testing.T) {
 	h := forwardingHost(t, nil, "")
-	h.manager.Operate(h.now, 1, show())
+	h.manager.Operate(h.now, 1, show(), nil)
 	h.check(1, isNoLeader)
 
 	h.leader = "leader"
-	h.manager.Operate(h.now, 2, show())
+	h.manager.Operate(h.now, 2, show(), nil)
 	h.pass(2 * constants.ForwardWait)
 	if got := len(h.sends["leader"]); got != 1 {
 		t.Errorf("forwarded %d times, want once", got)
@@ -33,7 +33,7 @@
 
 func TestRoutesAreForwardedAgain(t *testing.T) {
 	h := forwardingHost(t, &RouteOptions{}, "leader")
-	h.manager.Operate(h.now, ticket, show())
+	h.manager.Operate(h.now, ticket, show(), nil)
 	h.pass(constants.ForwardWait - time.Millisecond)
 	if got := len(h.sends["leader"]); got != 1 {
 		t.Errorf("forwarded %d times, want once", got)
@@ -56,7 +56,7 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			h := forwardingHost(t, &RouteOptions{}, "leader")
-			h.manager.Operate(h.now, ticket, show())
+			h.manager.Operate(h.now, ticket, show(), nil)
 			h.manager.ReceiveResponse(h.now+c.after, "leader", ticket, noLeader)
 			if isKept := h.responses[ticket] == nil; isKept != c.isKept {
 				t.Errorf("kept %v, want %v", isKept, c.isKept)
@@ -67,7 +67,7 @@
 
 func TestARequestIsDecidedHereOnceThisNodeLeads(t *testing.T) {
 	h := forwardingHost(t, &RouteOptions{}, "")
-	h.manager.Operate(h.now, ticket, show())
+	h.manager.Operate(h.now, ticket, show(), nil)
 	h.isLeading = true
 	h.pass(constants.ForwardWait)
 	h.confirm()
@@ -76,7 +76,7 @@
 
 func TestARequestThatFindsNoLeaderIsRefusedInTime(t *testing.T) {
 	h := forwardingHost(t, &RouteOptions{}, "")
-	h.manager.Operate(h.now, ticket, show())
+	h.manager.Operate(h.now, ticket, show(), nil)
 	h.pass(constants.ForwardWait)
 	h.pass(constants.ForwardWait)
 	h.checkPending(ticket)
@@ -96,7 +96,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			h := newHost(t, c.routes)
 			h.leader = "next"
-			h.manager.Operate(h.now, ticket, show())
+			h.manager.Operate(h.now, ticket, show(), nil)
 			h.lose()
 			if isAgain := len(h.sends["next"]) == 1; isAgain != c.isAgain {
 				t.Errorf("forwarded %v, want %v", isAgain, c.isAgain)
@@ -121,7 +121,7 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			h := forwardingHost(t, &RouteOptions{}, "leader")
-			h.manager.Operate(h.now, ticket, show())
+			h.manager.Operate(h.now, ticket, show(), nil)
 			h.manager.ReceiveResponse(h.now, c.from, c.ticket, &schema.OperatorResponse{})
 			if isStale := h.manager.StaleResponses() == 1; isStale != c.isStale {
 				t.Errorf("stale %v, want %v", isStale, c.isStale)
--- a/internal/operations/operations.go
+++ b/internal/operations/operations.go
@@ -136,10 +136,16 @@
 	return m
 }
 
-// Operate takes a local caller's request; the response goes to Sender.Respond.
-func (m *Manager) Operate(now time.Duration, ticket Ticket, request *schema.OperatorRequest) {
+// Operate takes a local caller's request; the response goes to Sender.Respond. A nil caller waits for ever.
+func (m *Manager) Operate(now time.Duration, ticket Ticket, request *schema.OperatorRequest, caller Caller) {
 	m.now = now
-	m.handle(newRequest(now, origin{ticket: ticket}, request))
+	p := newRequest(now, origin{ticket: ticket, caller: caller}, request)
+	m.noteZoneBase(p)
+	if p.origin.isGone() {
+		m.refuse(p, callerGone())
+		return
+	}
+	m.handle(p)
 }
 
 // ReceiveRequest takes a request that the node at an address has forwarded under a call number of its own.
@@ -193,6 +199,10 @@
 		m.sender.Send(p.origin.address, &schema.Frame{Call: p.origin.call, Body: body})
 		return
 	}
+	if m.decidesZoneAnew(p, response) {
+		m.handle(p)
+		return
+	}
 	m.sender.Respond(p.origin.ticket, response)
 }
 
--- a/internal/operations/operations_test.go
+++ b/internal/operations/operations_test.go
@@ -16,7 +16,7 @@
 	for _, kind := range []schema.OperatorKind{schema.OperatorKind_OPERATOR_SHOW, schema.OperatorKind_OPERATOR_STATUS, schema.OperatorKind_OPERATOR_ASK} {
 		t.Run(kind.String(), func(t *testing.T) {
 			h := newHost(t, nil)
-			h.manager.Operate(h.now, ticket, &schema.OperatorRequest{Kind: kind})
+			h.manager.Operate(h.now, ticket, &schema.OperatorRequest{Kind: kind}, nil)
 			h.checkPending(ticket)
 			h.confirm()
 			h.check(ticket, accepted)
@@ -29,7 +29,7 @@
 		t.Run(key, func(t *testing.T) {
 			h := newHost(t, nil)
 			h.put(store.EncodeRow(store.CatalogHeadKey, &schema.CatalogHead{Version: 4, OperatorKey: "k-1"}))
-			h.manager.Operate(h.now, ticket, &schema.OperatorRequest{Kind: schema.OperatorKind_OPERATOR_ASK, Key: key})
+			h.manager.Operate(h.now, ticket, &schema.OperatorRequest{Kind: schema.OperatorKind_OPERATOR_ASK, Key: key}, nil)
 			h.confirm()
 			h.check(ticket, want)
 		})
@@ -38,7 +38,7 @@
 
 func TestAReadWithoutAMajorityIsRefusedInTime(t *testing.T) {
 	h := newHost(t, nil)
-	h.manager.Operate(h.now, ticket, show())
+	h.manager.Operate(h.now, ticket, show(), nil)
 	h.pass(constants.ProposalWait)
 	h.checkPending(ticket)
 	h.pass(time.Millisecond)
@@ -49,7 +49,7 @@
 func TestAChangeIsAnsweredOnceItIsApplied(t *testing.T) {
 	h := newHost(t, &RouteOptions{})
 	h.put(zoneRow("z"))
-	h.manager.Operate(h.now, ticket, emptyZone("z"))
+	h.manager.Operate(h.now, ticket, emptyZone("z"), nil)
 	h.checkPending(ticket)
 	h.commit(h.term)
 	h.check(ticket, accepted)
@@ -72,7 +72,7 @@
 			h := newHost(t, nil)
 			h.put(zoneRow("z"))
 			h.zonesBehind = []string{"z"}
-			h.manager.Operate(h.now, ticket, emptyZone("z"))
+			h.manager.Operate(h.now, ticket, emptyZone("z"), nil)
 			h.commit(h.term)
 			h.pass(time.Millisecond)
 			h.checkPending(ticket)
@@ -89,7 +89,7 @@
 func TestAChangeWithoutAMajorityIsAmbiguous(t *testing.T) {
 	h := newHost(t, &RouteOptions{})
 	h.put(zoneRow("z"))
-	h.manager.Operate(h.now, ticket, emptyZone("z"))
+	h.manager.Operate(h.now, ticket, emptyZone("z"), nil)
 	h.pass(constants.ProposalWait)
 	h.checkPending(ticket)
 	h.pass(time.Millisecond)
@@ -100,7 +100,7 @@
 func TestAnotherLeadersRecordAtTheIndexRefusesTheChange(t *testing.T) {
 	h := newHost(t, &RouteOptions{})
 	h.put(zoneRow("z"))
-	h.manager.Operate(h.now, ticket, emptyZone("z"))
+	h.manager.Operate(h.now, ticket, emptyZone("z"), nil)
 	h.commit(h.term + 1)
 	h.check(ticket, isNoLeader)
 }
@@ -120,7 +120,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			h := newHost(t, &RouteOptions{})
 			h.put(zoneRow("z"))
-			h.manager.Operate(h.now, ticket, emptyZone("z"))
+			h.manager.Operate(h.now, ticket, emptyZone("z"), nil)
 			if got := h.manager.Applied(h.now, c.position, c.isVoid); got != c.want {
 				t.Errorf("accepted %v, want %v", got, c.want)
 			}
@@ -144,7 +144,7 @@
 			digest := sha256.Sum256(config.Document)
 			h.last++
 			h.records[h.last] = routes.Plan(h.table, config, digest[:])
-			h.manager.Operate(h.now, ticket, putRoutes(1, 0, "{}"))
+			h.manager.Operate(h.now, ticket, putRoutes(1, 0, "{}"), nil)
 			h.commit(h.term)
 			h.checkPending(ticket)
 			h.confirm()
@@ -155,7 +155,7 @@
 
 func TestAnAnswerByStateAloneNeedsAMajority(t *testing.T) {
 	h := newHost(t, &RouteOptions{})
-	h.manager.Operate(h.now, ticket, putRoutes(2, 1, "{}"))
+	h.manager.Operate(h.now, ticket, putRoutes(2, 1, "{}"), nil)
 	h.checkPending(ticket)
 	h.confirm()
 	h.check(ticket, isConflict)
@@ -163,8 +163,8 @@
 
 func TestADeferredConfigurationIsDecidedOnceTheOtherIsApplied(t *testing.T) {
 	h := newHost(t, &RouteOptions{})
-	h.manager.Operate(h.now, 1, putRoutes(1, 0, "{}"))
-	h.manager.Operate(h.now, 2, putRoutes(2, 1, "{ }"))
+	h.manager.Operate(h.now, 1, putRoutes(1, 0, "{}"), nil)
+	h.manager.Operate(h.now, 2, putRoutes(2, 1, "{ }"), nil)
 	h.pass(time.Millisecond)
 	h.checkPending(2)
 	h.commit(h.term)
@@ -200,7 +200,7 @@
 
 func TestAnUnknownKindIsRefused(t *testing.T) {
 	h := newHost(t, nil)
-	h.manager.Operate(h.now, ticket, &schema.OperatorRequest{Kind: 99})
+	h.manager.Operate(h.now, ticket, &schema.OperatorRequest{Kind: 99}, nil)
 	h.check(ticket, isUnknown)
 }
 
@@ -210,7 +210,7 @@
 			h := newHost(t, nil)
 			h.put(zoneRow("z"))
 			h.isLogFailed = true
-			h.manager.Operate(h.now, ticket, request)
+			h.manager.Operate(h.now, ticket, request, nil)
 			h.check(ticket, isNoLeader)
 			if h.responses[ticket].Message != errNotLeading.Error() {
 				t.Errorf("%q", h.responses[ticket].Message)
--- a/internal/operations/refusal.go
+++ b/internal/operations/refusal.go
@@ -58,6 +58,9 @@
 	return &Refusal{Kind: schema.RefusalKind_REFUSAL_NO_LEADER, Problem: problem, Remedy: remedy}
 }
 
+// callerGone answers a request whose caller has given it up before it was decided here.
+func callerGone() *Refusal { return noLeader("the caller has gone", "ask again") }
+
 // ambiguous answers a request that may have been carried out, or may still be.
 func ambiguous(version uint64, problem, remedy string) *Refusal {
 	return &Refusal{Kind: schema.RefusalKind_REFUSAL_AMBIGUOUS, Version: version, Problem: problem, Remedy: remedy}
--- a/internal/operations/zone.go
+++ b/internal/operations/zone.go
@@ -1,6 +1,8 @@
 package operations
 
 import (
+	"math"
+
 	"google.golang.org/protobuf/proto"
 
 	"topazshed/internal/raft"
@@ -8,6 +10,15 @@
 	"topazshed/internal/store"
 )
 
+// A change of a zone names, as its base, the index of the zone's row at the node that took it, so that it can't undo a change that was made
+// after its caller gave it up: a caller that isn't answered makes the same call, and then others, at another node.
+const (
+	// noZoneBase is the base in requests of programs that name none; they are not checked.
+	noZoneBase = 0
+	// unknownZoneBase is the base at a node without the zone's row; the leader names the right one.
+	unknownZoneBase = math.MaxUint64
+)
+
 // zoneDecider decides whether a zone is emptied or restored.
 type zoneDecider struct {
 	state    State
@@ -28,13 +39,62 @@
 	if zone.Emptied == isEmptied && !d.proposer.IsInFlight(key) {
 		return answer{&schema.OperatorResponse{Index: row.Index, Unconfirmed: d.fleet.Unconfirmed(raft.Index(row.Index))}}
 	}
+	if request.Base != noZoneBase && request.Base != row.Index {
+		return answer{staleZone(request.Zone, row.Index)}
+	}
 	fresh := proto.Clone(zone).(*schema.Zone)
 	fresh.Emptied = isEmptied
 	fresh.Reason = request.Reason
 	fresh.Settling = d.settles && !isEmptied
-	return propose{record: &schema.Record{
+	record := &schema.Record{
 		Kind:   schema.RecordKind_RECORD_ROWS,
 		Reason: "zone " + zone.Name,
 		Rows:   []*schema.Row{store.EncodeRow(key, fresh)},
-	}}
+	}
+	if request.Base != noZoneBase {
+		record.Guards = []*schema.Guard{{Key: key, Index: request.Base}}
+	}
+	return propose{record: record}
+}
+
+// noteZoneBase notes the index of the zone's row that a request was made on; whether its caller still waits must be asked after that.
+func (m *Manager) noteZoneBase(p *pendingRequest) {
+	if !isZoneChange(p.request.Kind) {
+		return
+	}
+	base := uint64(unknownZoneBase)
+	if row := m.state.Table().Get(store.ZoneKey(p.request.Zone)); row != nil {
+		base = row.Index
+	}
+	p.setBase(base)
+}
+
+// decidesZoneAnew tells whether a change of a zone that was made on an older row is decided once more on the newest one: its caller
+// still waits, so it has made no newer request, and there is time.
+func (m *Manager) decidesZoneAnew(p *pendingRequest, response *schema.OperatorResponse) bool {
+	if !isStaleZone(p.request, response) {
+		return false
+	}
+	p.setBase(response.Index)
+	if m.now >= forwardingEnds(p) || p.origin.isGone() {
+		*response = *noLeader("the zone was changed meanwhile", "ask again").response()
+		return false
+	}
+	p.isLeaderConfirmed = false
+	return true
+}
+
+func isZoneChange(kind schema.OperatorKind) bool {
+	return kind == schema.OperatorKind_OPERATOR_EMPTY || kind == schema.OperatorKind_OPERATOR_RESTORE
+}
+
+// staleZone refuses a change of a zone that was made on an older row, and names the index of the newest.
+func staleZone(zone string, newest uint64) *schema.OperatorResponse {
+	response := conflict(0, "zone "+zone+" was changed meanwhile", "ask again").response()
+	response.Index = newest
+	return response
+}
+
+func isStaleZone(request *schema.OperatorRequest, response *schema.OperatorResponse) bool {
+	return isZoneChange(request.Kind) && response.Refusal == schema.RefusalKind_REFUSAL_CONFLICT && response.Index > 0
 }
--- a/internal/sim/operator.go
+++ b/internal/sim/operator.go
@@ -71,7 +71,7 @@
 			f.recordOperator(call, response)
 			take(response)
 		}
-		n.machine.Operate(f.clock(n), operations.Ticket(n.serial), request)
+		n.machine.Operate(f.clock(n), operations.Ticket(n.serial), request, nil)
 		f.perform(n)
 	})
 }
--- a/internal/sockets/sockets.go
+++ b/internal/sockets/sockets.go
@@ -57,10 +57,55 @@
 	}
 	isQuiet := true
 	err = raw.Read(func(fd uintptr) bool {
-		var first [1]byte
-		n, _, err := syscall.Recvfrom(int(fd), first[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		isQuiet = n < 0 && (errors.Is(err, syscall.EAGAIN) || errors.Is(err, syscall.EWOULDBLOCK))
+		n, err := peek(fd)
+		isQuiet = n < 0 && isNothingYet(err)
 		return true
 	})
 	return err == nil && isQuiet
 }
+
+// connKey is the key of a context's connection.
+type connKey struct{}
+
+// WithConn is the ConnContext function of an HTTP server whose handlers may ask for their connection with ConnOf.
+func WithConn(ctx context.Context, conn net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, conn)
+}
+
+// ConnOf is the connection on which the request of a context came, or nil.
+func ConnOf(ctx context.Context) net.Conn {
+	conn, _ := ctx.Value(connKey{}).(net.Conn)
+	return conn
+}
+
+// IsClosedByPeer tells whether the other end has closed or reset a connection that is being read elsewhere. It reads nothing; what is no TCP
+// connection counts as open, and so does one on which bytes wait before its end.
+func IsClosedByPeer(conn net.Conn) bool {
+	tcp, isTCP := conn.(*net.TCPConn)
+	if !isTCP {
+		return false
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return true
+	}
+	isClosed := false
+	// Control and not Read, which would wait for the reader of the connection.
+	err = raw.Control(func(fd uintptr) {
+		n, err := peek(fd)
+		isClosed = n == 0 && err == nil || n < 0 && !isNothingYet(err)
+	})
+	return err != nil || isClosed
+}
+
+// peek looks at the first byte that has arrived on a socket: 0 bytes without an error are the connection's end.
+func peek(fd uintptr) (n int, err error) {
+	var first [1]byte
+	n, _, err = syscall.Recvfrom(int(fd), first[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	return n, err
+}
+
+// isNothingYet tells whether an error says only that nothing has arrived.
+func isNothingYet(err error) bool {
+	return errors.Is(err, syscall.EAGAIN) || errors.Is(err, syscall.EWOULDBLOCK) || errors.Is(err, syscall.EINTR)
+}
