replication: a reader that lost its source asks the members in turn and waits for none of them

Cause: while it sought a source of rows, a reader waited 0.9 to 1.8 s for each member, one after the other, and a link that is dialled during a cut carries nothing for 0.8 s more. Class of fault: recovery whose sum of waits exceeds the bound that it has to keep. Change: while a source is sought, the next member is asked after 0.1 to 0.4 s, the one that was asked longest ago first; whoever answers with confirmed rows becomes the source.

--- a/internal/constants/replication.go
+++ b/internal/constants/replication.go
@@ -12,11 +12,12 @@
 	SubscriptionTTL = 2 * time.Second
 	// SourceTimeout is the time-out after which a subscriber turns to another source.
 	SourceTimeout = 900 * time.Millisecond
-	// SourceTryPause is how much longer a subscriber waits before each further source that it tries, so that a fleet without a
+	// SourceTryPause is how much longer a subscriber waits before each further source that it asks, so that a fleet without a
 	// majority does not overload the few machines that have the log.
-	SourceTryPause = 150 * time.Millisecond
-	// MaxSourceTryPause is the longest such pause.
-	MaxSourceTryPause = 2 * SourceTimeout
+	SourceTryPause = 100 * time.Millisecond
+	// MaxSourceTryPause is the longest such pause: several members must be asked between a fault's end and the moment from which
+	// a node must keep every bound again.
+	MaxSourceTryPause = 400 * time.Millisecond
 	// HomeSourceEvery is how often a machine whose source is in another region asks one of its own.
 	HomeSourceEvery = 4 * time.Second
 	// DeltaKeep (rows) that changed stay in memory for deltas; a subscriber further behind gets whole ranges.
@@ -30,7 +31,7 @@
 	// RoutedDigest is DigestEvery in a fleet of routes: ranges differ only after a fault.
 	RoutedDigest = 6 * time.Second
 	// FarSourceAfter is how long a reader is without a source in its region before it turns to another region's.
-	FarSourceAfter = 2500 * time.Millisecond
+	FarSourceAfter = 600 * time.Millisecond
 	// SourceFound is left, of the time after which a fleet without faults must keep every bound again, for the first response
 	// of a source in another region: one subscription over a far link.
 	SourceFound = 600 * time.Millisecond
--- a/internal/controlplane/route_workload.go
+++ b/internal/controlplane/route_workload.go
@@ -17,6 +17,8 @@
 	Zones map[string]string
 	// RecoveryBound is how long after a fault an undisturbed node must keep every promise again; 0 is unknown.
 	RecoveryBound time.Duration
+	// ApplyBound is how long after its acknowledgement a change must be in force at every such node; 0 is unknown.
+	ApplyBound time.Duration
 	// ColdRate is how many requests a second the whole fleet may send to a back end that is warming up.
 	ColdRate func(*schema.ServicePolicy) int
 	// Fits tells whether a record can be logged; nil is always.
@@ -35,7 +37,8 @@
 type routeWorkload struct{ machine *Machine }
 
 func (w *routeWorkload) timing() timing.Timing {
-	return timing.ForRoutes(w.machine.options.Routes.RecoveryBound)
+	routes := w.machine.options.Routes
+	return timing.ForRoutes(routes.RecoveryBound, routes.ApplyBound)
 }
 
 // restorable gives all: a node serves on its own last state before a leader has sent it the newest.
--- a/internal/node/route_service.go
+++ b/internal/node/route_service.go
@@ -43,6 +43,7 @@
 		ListLag:       bounds.ListLag,
 		Zones:         s.platform.Zones,
 		RecoveryBound: bounds.Quiet,
+		ApplyBound:    bounds.ApplyWithin,
 		ColdRate:      gateway.NewLoads(s.node.Now(), bounds.Bounds).ColdRate,
 		Load: func(span time.Duration) []*schema.ShardLoad {
 			return s.gateway.Loads().TakeKeyLoad(span)
--- a/internal/replication/choose.go
+++ b/internal/replication/choose.go
@@ -39,7 +39,7 @@
 	if len(candidates) == 0 {
 		return false
 	}
-	s.source.choose(now, s.drawOne(candidates))
+	s.source.choose(now, s.drawOne(s.source.leastAsked(candidates)))
 	return true
 }
 
@@ -53,7 +53,9 @@
 		remote := s.fleet.Addresses(func(node *schema.Node) bool {
 			return s.source.isCandidate(now, node) && node.Region != s.options.Region
 		})
-		if len(remote) > 0 {
+		if s.options.PrefersHome {
+			candidates = append(candidates, remote...)
+		} else if len(remote) > 0 {
 			candidates = remote
 		}
 	}
--- a/internal/replication/source.go
+++ b/internal/replication/source.go
@@ -14,8 +14,10 @@
 	chosenAt time.Duration
 	// confirmedAt is when it last sent rows that a majority had confirmed shortly before; 0 is never.
 	confirmedAt time.Duration
-	// failedAt is when each member was last found silent, or with rows that no majority had confirmed lately.
+	// failedAt is when each member was last found silent, or with rows that no majority had confirmed lately; askedAt is when it was
+	// last chosen.
 	failedAt map[string]time.Duration
+	askedAt  map[string]time.Duration
 	// tries counts the members chosen since seekingSince, when the last good source was lost; triedAt is when the last one was chosen.
 	tries        int
 	triedAt      time.Duration
@@ -40,6 +42,7 @@
 	s.address = address
 	s.chosenAt = now
 	s.triedAt = now
+	s.askedAt[address] = now
 	s.confirmedAt = 0
 	s.tries++
 }
@@ -68,12 +71,32 @@
 // isUnresponsive tells, of a source that is not alive, whether its failure is still to be noted.
 func (s *source) isUnresponsive() bool { return s.address != "" && s.chosenAt > 0 }
 
-// isTryDue bounds how often members are tried in turn while all of them are silent or have old rows.
+// isDue tells whether another member must be asked: the source can't be relied on, or one is being sought. While one is sought, no
+// member is waited for: the first that answers with confirmed rows becomes the source.
+func (s *source) isDue(now time.Duration) bool {
+	return (!s.isAlive(now) || s.isSeeking()) && s.isTryDue(now)
+}
+
+// isTryDue bounds how often members are asked in turn while all of them are silent or have old rows.
 func (s *source) isTryDue(now time.Duration) bool {
 	pause := min(time.Duration(s.tries)*constants.SourceTryPause, constants.MaxSourceTryPause)
 	return now-s.triedAt >= pause
 }
 
+// leastAsked keeps the members whose last choice is longest ago, so that all are asked in turn.
+func (s *source) leastAsked(addresses []string) []string {
+	var kept []string
+	for _, address := range addresses {
+		switch {
+		case len(kept) == 0 || s.askedAt[address] < s.askedAt[kept[0]]:
+			kept = []string{address}
+		case s.askedAt[address] == s.askedAt[kept[0]]:
+			kept = append(kept, address)
+		}
+	}
+	return kept
+}
+
 // isCandidate tells whether a node may be tried as the next source.
 func (s *source) isCandidate(now time.Duration, node *schema.Node) bool {
 	if !node.Disk || node.Address == s.address {
--- a/internal/replication/subscription.go
+++ b/internal/replication/subscription.go
@@ -105,7 +105,7 @@
 		options:  options,
 		table:    table,
 		fleet:    fleet,
-		source:   source{failedAt: map[string]time.Duration{}},
+		source:   source{failedAt: map[string]time.Duration{}, askedAt: map[string]time.Duration{}},
 		requests: inflight.New(options.FirstSerial),
 		held:     map[string]bool{},
 		wanted:   map[string]time.Duration{},
@@ -149,13 +149,11 @@
 
 // Tick renews the subscription, or turns to another source if this one is silent or sends old rows.
 func (s *Subscription) Tick(now time.Duration) []frame.Envelope {
-	if !s.source.isAlive(now) {
-		if s.source.isUnresponsive() {
-			s.failSource(now, s.source.address, "it is unresponsive")
-		}
-		if s.source.isTryDue(now) && s.chooseSource(now) {
-			return s.subscribe(now)
-		}
+	if !s.source.isAlive(now) && s.source.isUnresponsive() {
+		s.failSource(now, s.source.address, "it is unresponsive")
+	}
+	if s.source.isDue(now) && s.chooseSource(now) {
+		return s.subscribe(now)
 	}
 	if now-s.renewedAt < s.options.RenewEvery {
 		return nil
--- a/internal/timing/timing.go
+++ b/internal/timing/timing.go
@@ -49,8 +49,9 @@
 
 // ForRoutes gives the timing of a fleet that carries routes. The recovery bound is the time after a fault within which
 // a healthy node must keep every promise again; it shortens elections and the search for a source where it is small. 0
-// means that it is not known.
-func ForRoutes(recoveryBound time.Duration) Timing {
+// means that it is not known. The apply bound is the time after its acknowledgement within which a change must be in force
+// everywhere; it shortens the search too, 0 is unknown.
+func ForRoutes(recoveryBound, applyBound time.Duration) Timing {
 	return Timing{
 		Sampler: membership.Timing{
 			ProbeInterval:   constants.RoutedProbe,
@@ -63,7 +64,7 @@
 		DeltaInterval:     constants.RoutedDelta,
 		SubscribeInterval: constants.RoutedSubscribe,
 		DigestInterval:    constants.RoutedDigest,
-		RemoteSourceAfter: remoteSourceAfter(recoveryBound),
+		RemoteSourceAfter: remoteSourceAfter(recoveryBound, applyBound),
 	}
 }
 
@@ -88,12 +89,14 @@
 	return pace
 }
 
-// remoteSourceAfter leaves enough of the bound for the loss of the former source to be seen and for the first answer of
+// remoteSourceAfter leaves enough of each bound for the loss of the former source to be seen and for the first answer of
 // a remote one.
-func remoteSourceAfter(recoveryBound time.Duration) time.Duration {
-	if recoveryBound <= 0 {
-		return constants.FarSourceAfter
+func remoteSourceAfter(bounds ...time.Duration) time.Duration {
+	after := constants.FarSourceAfter
+	for _, bound := range bounds {
+		if bound > 0 {
+			after = min(after, bound-constants.SourceTimeout-constants.SourceFound)
+		}
 	}
-	left := recoveryBound - constants.SourceTimeout - constants.SourceFound
-	return max(0, min(constants.FarSourceAfter, left))
+	return max(0, after)
 }
