discovery: a back end that begins to drain is taken with its page of the list

Cause: the waits from the list to the farthest node took 2,395 ms without the request's own connection and way (435 ms at worst). A read of six or seven pages was planned on only at its end, so that a line of the first page waited for all the others. Class of fault: a bound that is divided among waits without the last of them. Change: the pages read so far are taken at once when a back end drains that did not in the read before; a part of a read does not replace a read whose record could not be proposed yet.

--- a/internal/discovery/list.go
+++ b/internal/discovery/list.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 )
 
@@ -64,6 +65,23 @@
 	Reason     string
 }
 
+// WithOlder returns a part of a read with the back ends of an older read that it lacks, so that what was not planned on yet is
+// not lost.
+func (l Listing) WithOlder(older Listing) Listing {
+	isListed := map[backendID]bool{}
+	for _, item := range l.Items {
+		isListed[newBackendID(item.Service, item.Instance)] = true
+	}
+	merged := l
+	merged.Items = slices.Clone(l.Items)
+	for _, item := range older.Items {
+		if !isListed[newBackendID(item.Service, item.Instance)] {
+			merged.Items = append(merged.Items, item)
+		}
+	}
+	return merged
+}
+
 // ListRead is one read of the list of a fleet of entries.
 type ListRead struct {
 	Items []Item
--- a/internal/discovery/list_limiter.go
+++ b/internal/discovery/list_limiter.go
@@ -13,14 +13,18 @@
 	rate float64
 	// calls are the latest reserved calls, as many as the rate allows in one second.
 	calls []time.Duration
-	// begunAt is when the read under way began, reported how many of its back ends were taken before its end.
+	// begunAt is when the read under way began, reported how many of its back ends were taken before its end, and examined how many
+	// were looked at.
 	begunAt  time.Duration
 	reported int
+	examined int
+	// draining are the back ends that this read has found draining, wasDraining those of the read before.
+	draining, wasDraining map[backendID]bool
 }
 
 // NewListLimiter returns a limiter for a list that takes rate calls a second; 0 is no bound.
 func NewListLimiter(rate float64) *ListLimiter {
-	return &ListLimiter{rate: rate * constants.ListRateShare}
+	return &ListLimiter{rate: rate * constants.ListRateShare, draining: map[backendID]bool{}}
 }
 
 // BusyError says that the list refused one page again and again.
@@ -34,19 +38,34 @@
 func (l *ListLimiter) BeginRead(now time.Duration) (begunAt time.Duration) {
 	l.begunAt = now
 	l.reported = 0
+	l.examined = 0
+	l.draining, l.wasDraining = map[backendID]bool{}, l.draining
 	return now
 }
 
-// Partial returns when the read under way began, and whether the count back ends that it has found so far are to be
-// taken now: the pages of a long read are taken as they come.
-func (l *ListLimiter) Partial(now time.Duration, count int) (begunAt time.Duration, isDue bool) {
-	isDue = count > l.reported && now-l.begunAt >= constants.ListTellAfter
+// Partial returns when the read under way began, and whether the back ends that it has found so far are to be taken now:
+// at once where one has begun to drain, and the pages of a long read as they come.
+func (l *ListLimiter) Partial(now time.Duration, items []Listed) (begunAt time.Duration, isDue bool) {
+	isDue = l.findsDraining(items) || len(items) > l.reported && now-l.begunAt >= constants.ListTellAfter
 	if isDue {
-		l.reported = count
+		l.reported = len(items)
 	}
 	return l.begunAt, isDue
 }
 
+// findsDraining looks at what is new in a read, and tells whether a back end drains that did not in the read before.
+func (l *ListLimiter) findsDraining(items []Listed) bool {
+	isNews := false
+	for _, item := range items[min(l.examined, len(items)):] {
+		if id := newBackendID(item.Service, item.Instance); item.IsDraining {
+			isNews = isNews || !l.wasDraining[id]
+			l.draining[id] = true
+		}
+	}
+	l.examined = len(items)
+	return isNews
+}
+
 // Reserve counts a call and returns how long it must wait; refusals is how often the list has refused its page. It
 // fails with a *BusyError once these are too many.
 func (l *ListLimiter) Reserve(now time.Duration, refusals int) (wait time.Duration, err error) {
--- a/internal/leader/endpoints.go
+++ b/internal/leader/endpoints.go
@@ -52,6 +52,14 @@
 	}
 }
 
+// take takes a read of the list. A part of a read doesn't replace one that is not planned on yet.
+func (e *routeEndpoints) take(listing discovery.Listing) {
+	if e.listing != nil && !listing.IsComplete {
+		listing = listing.WithOlder(*e.listing)
+	}
+	e.listing = &listing
+}
+
 // planListed plans on a listing until a record that follows from it is proposed, or none does.
 func (e *routeEndpoints) planListed(t *turn) {
 	record := e.watch.Plan(discovery.WatchFacts{Now: t.Now, View: t.View, Table: t.Table, Listing: e.listing, ColdRate: e.coldRate})
--- a/internal/leader/endpoints_test.go
+++ b/internal/leader/endpoints_test.go
@@ -38,6 +38,24 @@
 	}
 }
 
+// Guards against forgetting a back end that drains (DRAIN): a part of the next read took the place of a read whose record could not
+// be proposed yet.
+func TestAPartOfAReadDoesNotReplaceAReadThatIsNotPlannedOn(t *testing.T) {
+	r := newRoutes(&RouteOptions{ColdRate: func(*schema.ServicePolicy) int { return 1 }}, signer{})
+	proposer := &fakeProposer{isRefusing: true}
+	leaving := discovery.Listed{Service: "s", Instance: "leaving", Address: "a", Zone: "z", Slots: 1, IsDraining: true}
+	other := discovery.Listed{Service: "s", Instance: "other", Address: "b", Zone: "z", Slots: 1}
+	present := &turn{State: newState(t, startedAt, regionRow, zoneRow), fleet: NewFleet(), proposer: proposer, logger: slog.New(slog.DiscardHandler)}
+	r.take(startedAt, Listing{discovery.Listing{Items: []discovery.Listed{leaving}, BegunAt: startedAt, IsComplete: true}})
+	r.endpoints.plan(present)
+	r.take(startedAt, Listing{discovery.Listing{Items: []discovery.Listed{other}, BegunAt: startedAt + time.Second}})
+	proposer.isRefusing = false
+	r.endpoints.plan(present)
+	if len(proposer.records) != 1 || len(proposer.records[0].Rows) != 2 {
+		t.Fatalf("proposed %v, want the rows of both back ends", proposer.records)
+	}
+}
+
 func TestInputsOfTheOtherKindOfFleetAreLeftOut(t *testing.T) {
 	for _, c := range []struct {
 		name     string
--- a/internal/leader/routes.go
+++ b/internal/leader/routes.go
@@ -50,7 +50,7 @@
 func (r *routes) take(now time.Duration, input Input) bool {
 	switch input := input.(type) {
 	case Listing:
-		r.endpoints.listing = &input.Listing
+		r.endpoints.take(input.Listing)
 		return true
 	case LeaseAnswer:
 		return r.shards.answered(now, input)
--- a/internal/node/list_reader.go
+++ b/internal/node/list_reader.go
@@ -47,7 +47,7 @@
 
 // turn reports what was read so far where that is due, and waits until the list may be called again.
 func (r *listReader) turn(ctx context.Context, refusals int, items []discovery.Listed) error {
-	if begun, isDue := r.pace.Partial(r.node.Now(), len(items)); isDue {
+	if begun, isDue := r.pace.Partial(r.node.Now(), items); isDue {
 		r.report(discovery.Listing{BegunAt: begun, Items: slices.Clone(items)})
 	}
 	wait, err := r.pace.Reserve(r.node.Now(), refusals)
