--- a/cmd/testfleet/routed.go
+++ b/cmd/testfleet/routed.go
@@ -11,6 +11,7 @@
 	"os"
 	"os/signal"
 	"path/filepath"
+	"slices"
 	"syscall"
 	"time"
 
@@ -117,52 +118,71 @@
 
 // run makes a fleet and everything around it, and ends them all when it returns. It gives what was broken.
 func (c *routedCommand) run(ctx context.Context) ([]string, error) {
-	program, err := filepath.Abs(c.options.program)
+	r, closeAll, err := openRouted(c.options)
 	if err != nil {
 		return nil, err
 	}
-	folder, isTemporary, err := makeFolder(c.options.folder)
+	defer closeAll()
+	random := rand.New(rand.NewSource(c.options.seed))
+	if c.options.isDemo {
+		fmt.Println("the fleet carries routes of ledger.example; admin addresses:")
+		r.fleet.printAddresses()
+		r.load(ctx, demoRate, random)
+		return r.platform.allViolations(), nil
+	}
+	return c.injectFaults(ctx, r, random)
+}
+
+// openRouted starts a fleet of routes with everything around it, and waits until it has settled on its first configuration. The
+// function that it gives ends them all.
+func openRouted(options routedOptions) (r *routedRun, closeAll func(), err error) {
+	program, err := filepath.Abs(options.program)
 	if err != nil {
-		return nil, err
+		return nil, nil, err
+	}
+	folder, isTemporary, err := makeFolder(options.folder)
+	if err != nil {
+		return nil, nil, err
 	}
+	var closers []func()
+	closeAll = func() {
+		for _, closer := range slices.Backward(closers) {
+			closer()
+		}
+	}
+	defer func() {
+		if err != nil {
+			closeAll()
+		}
+	}()
 	if isTemporary {
-		defer os.RemoveAll(folder)
+		closers = append(closers, func() { os.RemoveAll(folder) })
 	}
-	platform := newRoutedPlatform(c.options.seed)
-	defer platform.close()
+	platform := newRoutedPlatform(options.seed)
+	closers = append(closers, func() { platform.close() })
 	if err := platform.start(routedListAddress); err != nil {
-		return nil, err
+		return nil, nil, err
 	}
 	fleet, err := newFleet(fleetOptions{
 		program:     program,
 		folder:      folder,
 		platformURL: "http://" + routedListAddress + "/backends",
-		logLevel:    c.options.logLevel,
+		logLevel:    options.logLevel,
 		history:     newHistory(),
 		routes:      &routeSettings{RetrySlack: 60, ColdMargin: 5, StopGraceMs: 4000},
 	})
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
-	defer fleet.close()
+	closers = append(closers, fleet.close)
 	if err := fleet.startAll(); err != nil {
-		return nil, err
+		return nil, nil, err
 	}
-	r := newRoutedRun(fleet, platform)
+	r = newRoutedRun(fleet, platform)
 	if err := r.operate(http.MethodPut, configurationPath, url.Values{"base": {"0"}}, routedDocument); err != nil {
-		return nil, err
-	}
-	if err := r.awaitSettled(); err != nil {
-		return nil, err
+		return nil, nil, err
 	}
-	random := rand.New(rand.NewSource(c.options.seed))
-	if c.options.isDemo {
-		fmt.Println("the fleet carries routes of ledger.example; admin addresses:")
-		fleet.printAddresses()
-		r.load(ctx, demoRate, random)
-		return platform.allViolations(), nil
-	}
-	return c.injectFaults(ctx, r, random)
+	return r, closeAll, r.awaitSettled()
 }
 
 // injectFaults runs the load with the schedule of faults, then checks the fleet and gives what was broken.
--- a/cmd/testfleet/routed_backend.go
+++ b/cmd/testfleet/routed_backend.go
@@ -88,6 +88,7 @@
 	isMine = !b.isKeyed || err == nil && p.isLeased(b.instance, uint32(key))
 	if isMine {
 		p.lastRequest[b.zone] = time.Now()
+		p.lastRequestTo[b.instance] = time.Now()
 	}
 	return isMine, time.Duration(minRoutedWork+p.random.Intn(routedWorkSpread)) * time.Millisecond
 }
--- a/cmd/testfleet/routed_platform.go
+++ b/cmd/testfleet/routed_platform.go
@@ -42,9 +42,12 @@
 	// runs counts how often each attempt ran, notRepeatable are those that must run once at most.
 	runs          map[string]int
 	notRepeatable map[string]bool
-	// lastRequest is when each zone's back ends last got a request.
-	lastRequest map[string]time.Time
-	violations  []string
+	// lastRequest is when each zone's back ends last got a request, lastRequestTo the same by instance.
+	lastRequest   map[string]time.Time
+	lastRequestTo map[string]time.Time
+	// drainingSince is since when the list shows a back end as draining, by instance.
+	drainingSince map[string]time.Time
+	violations    []string
 }
 
 func newRoutedPlatform(seed int64) *routedPlatform {
@@ -53,6 +56,8 @@
 		runs:          map[string]int{},
 		notRepeatable: map[string]bool{},
 		lastRequest:   map[string]time.Time{},
+		lastRequestTo: map[string]time.Time{},
+		drainingSince: map[string]time.Time{},
 	}
 }
 
@@ -208,9 +213,19 @@
 			Instance: b.instance,
 			Address:  b.address,
 			Zone:     b.zone,
-			State:    checker.BackendReady,
+			State:    p.stateOf(b.instance),
 			Slots:    cap(b.workers),
 		})
 	}
 	json.NewEncoder(w).Encode(page)
 }
+
+// stateOf is a back end's state on the list.
+func (p *routedPlatform) stateOf(instance string) string {
+	p.lock.Lock()
+	defer p.lock.Unlock()
+	if p.drainingSince[instance].IsZero() {
+		return checker.BackendReady
+	}
+	return checker.BackendDraining
+}
--- a/test.sh
+++ b/test.sh
@@ -34,3 +34,4 @@
 bin/testfleet run -deployment office -rate 100 -seconds 32 -seed 1 -scenario scenarios/ci.txt
 bin/testfleet run -deployment port -rate 200 -seconds 50 -seed 1 -scenario scenarios/ci-port.txt
 bin/testfleet routed -seconds 24 -seed 1
+bin/testfleet soak -seeds 1 -storms 2
