--- a/internal/bootstrap/bootstrap.go
+++ b/internal/bootstrap/bootstrap.go
@@ -7,7 +7,7 @@
 // Invariants:
 //   - A node that has a system never changes it.
 //   - At most one node founds: the lowest seed that has a disk or, if no seed has one, the node that the lowest seed names, once and for all.
-//   - It founds only after every other seed has said for constants.FoundSettle that it has no system either, and never if it was a member of a
+//   - It founds only after every other seed has said for constants.FoundingWait that it has no system either, and never if it was a member of a
 //     log before or its operator says that the system exists.
 package bootstrap
 
@@ -151,7 +151,7 @@
 }
 
 func (m *Machine) isAskingDue(now time.Duration) bool {
-	return now-m.askedAt >= constants.WhoEvery
+	return now-m.askedAt >= constants.DiscoverEvery
 }
 
 func (m *Machine) discoverRequest(to string) frame.Envelope {
--- a/internal/bootstrap/bootstrap_test.go
+++ b/internal/bootstrap/bootstrap_test.go
@@ -61,7 +61,7 @@
 func asked(m *Machine, rounds int) string {
 	addresses := []string{}
 	for round := range rounds {
-		for _, envelope := range m.Ask(begin + time.Duration(round)*constants.WhoEvery) {
+		for _, envelope := range m.Ask(begin + time.Duration(round)*constants.DiscoverEvery) {
 			if envelope.Frame.GetDiscoverRequest() != nil {
 				addresses = append(addresses, envelope.To)
 			}
@@ -98,7 +98,7 @@
 func TestNodesAreAskedOnceInAWhile(t *testing.T) {
 	m := newMachine(t, diskNode("n"), []string{"a"}, nil)
 	count := 0
-	for now := begin; now < begin+4*constants.WhoEvery; now += constants.WhoEvery / 5 {
+	for now := begin; now < begin+4*constants.DiscoverEvery; now += constants.DiscoverEvery / 5 {
 		count += len(m.Ask(now))
 	}
 	if count != 4 {
--- a/internal/bootstrap/founding.go
+++ b/internal/bootstrap/founding.go
@@ -11,7 +11,7 @@
 
 const (
 	// answerValidFor is how long a seed's answer that it has no system counts.
-	answerValidFor = 2 * constants.WhoEvery
+	answerValidFor = 2 * constants.DiscoverEvery
 	// systemNumbers bounds the number that is drawn for the name of a system.
 	systemNumbers = 1 << 32
 )
@@ -46,7 +46,7 @@
 	if m.emptySince == 0 {
 		m.emptySince = now
 	}
-	return now-m.emptySince >= constants.FoundSettle
+	return now-m.emptySince >= constants.FoundingWait
 }
 
 // areOtherSeedsEmpty tells whether every other seed has said lately that it has no system.
@@ -91,7 +91,7 @@
 	if m.nominatingSince == 0 {
 		m.nominatingSince = now
 	}
-	if m.founder == "" && now-m.nominatingSince >= constants.FoundSettle {
+	if m.founder == "" && now-m.nominatingSince >= constants.FoundingWait {
 		m.founder = m.lowestKnownWithDisk()
 	}
 	return m.founder
--- a/internal/bootstrap/founding_test.go
+++ b/internal/bootstrap/founding_test.go
@@ -10,7 +10,7 @@
 
 // foundedAfter lets the other nodes answer at every tick and gives when the machine founds; it tells false if it does not within a while.
 func foundedAfter(m *Machine, answers map[string]*schema.DiscoverResponse, answersFrom time.Duration) (time.Duration, bool) {
-	for now := begin; now < begin+8*constants.FoundSettle; now += tick {
+	for now := begin; now < begin+8*constants.FoundingWait; now += tick {
 		if now >= begin+answersFrom {
 			for from, response := range answers {
 				m.TakeAnswer(now, from, response)
@@ -60,7 +60,7 @@
 	for _, late := range []time.Duration{0, time.Second} {
 		m := newMachine(t, diskNode("a"), []string{"a", "b"}, nil)
 		after, isFounded := foundedAfter(m, map[string]*schema.DiscoverResponse{"b": {}}, late)
-		if least := late + constants.FoundSettle; !isFounded || after < least || after > least+tick {
+		if least := late + constants.FoundingWait; !isFounded || after < least || after > least+tick {
 			t.Errorf("answers from %v on: founded %v after %v, want %v", late, isFounded, after, least)
 		}
 	}
@@ -73,7 +73,7 @@
 	if m.Found(begin+answerValidFor+1) != nil || m.emptySince != 0 {
 		t.Fatal("an answer that is too old still counts")
 	}
-	again := begin + constants.FoundSettle
+	again := begin + constants.FoundingWait
 	m.TakeAnswer(again, "b", &schema.DiscoverResponse{})
 	if m.Found(again) != nil || m.emptySince != again {
 		t.Fatalf("the wait did not begin anew: %v", m.emptySince)
@@ -85,7 +85,7 @@
 	if m.Found(begin) != nil {
 		t.Fatal("founded at once")
 	}
-	record := m.Found(begin + constants.FoundSettle)
+	record := m.Found(begin + constants.FoundingWait)
 	voters := record.GetMembers().GetVoters()
 	if record.GetKind() != schema.RecordKind_RECORD_MEMBERS || len(voters) != 1 || voters[0].Id != "id-a" || voters[0].Address != "a" || voters[0].Zone != "z" {
 		t.Fatalf("record %v", record)
@@ -93,7 +93,7 @@
 	if m.System() != "id-a-0000001f" {
 		t.Fatalf("system %q", m.System())
 	}
-	if m.Found(begin+10*constants.FoundSettle) != nil {
+	if m.Found(begin+10*constants.FoundingWait) != nil {
 		t.Fatal("founded twice")
 	}
 }
@@ -123,11 +123,11 @@
 				t.Fatalf("named %q at once", early)
 			}
 			m.Answer(begin, &schema.DiscoverRequest{})
-			if got := m.Answer(begin+constants.FoundSettle, &schema.DiscoverRequest{}).Founder; got != c.want {
+			if got := m.Answer(begin+constants.FoundingWait, &schema.DiscoverRequest{}).Founder; got != c.want {
 				t.Fatalf("named %q, want %q", got, c.want)
 			}
 			m.peers.(*fakePeers).known = []*schema.Node{diskNode("d")}
-			if got := m.Answer(begin+2*constants.FoundSettle, &schema.DiscoverRequest{}).Founder; got != c.want {
+			if got := m.Answer(begin+2*constants.FoundingWait, &schema.DiscoverRequest{}).Founder; got != c.want {
 				t.Fatalf("named %q later, want %q still", got, c.want)
 			}
 		})
--- a/internal/constants/balancing.go
+++ b/internal/constants/balancing.go
@@ -44,10 +44,10 @@
 
 // Waiting for a key's owner, and the load of keys (internal/gateway).
 const (
-	// ParkPoll is how often a request that waits for its key looks again.
-	ParkPoll = 15 * time.Millisecond
-	// ParkParts (parts) of a request's latency target, one of which it may wait for its key: a refusal after more is late.
-	ParkParts = 5
+	// OwnerPollEvery is how often a request that waits for its key looks again.
+	OwnerPollEvery = 15 * time.Millisecond
+	// OwnerWaitParts (parts) of a request's latency target, one of which it may wait for its key: a refusal after more is late.
+	OwnerWaitParts = 5
 	// Keys (keys) of a keyed service: 0 to 65535.
 	Keys = 1 << 16
 	// LoadBuckets (buckets) in which a node counts the work of a keyed service: 64 keys each, fine enough to divide a hot
--- a/internal/constants/membership.go
+++ b/internal/constants/membership.go
@@ -27,8 +27,8 @@
 	RoutedProbe = 700 * time.Millisecond
 	// RoutedProbeWait is the time-out after which a probed peer is suspected there: two probes.
 	RoutedProbeWait = 1500 * time.Millisecond
-	// WhoEvery is how often a node without a system asks its seeds.
-	WhoEvery = 250 * time.Millisecond
-	// FoundSettle is how long all three seeds must have been without a system before one founds it.
-	FoundSettle = 700 * time.Millisecond
+	// DiscoverEvery is how often a node without a system asks its seeds.
+	DiscoverEvery = 250 * time.Millisecond
+	// FoundingWait is how long all three seeds must have been without a system before one founds it.
+	FoundingWait = 700 * time.Millisecond
 )
--- a/internal/gateway/request_machine.go
+++ b/internal/gateway/request_machine.go
@@ -163,7 +163,7 @@
 		if choice.Refusal == RefusalMoving && m.mayWaitForOwner(now) {
 			// Waiting for an owner is no search.
 			m.searches--
-			return Order{Kind: OrderWait, Wait: min(constants.ParkPoll, m.Until-now)}
+			return Order{Kind: OrderWait, Wait: min(constants.OwnerPollEvery, m.Until-now)}
 		}
 		return m.end(now, choice.Refusal)
 	}
@@ -215,7 +215,7 @@
 // mayWaitForOwner tells whether a request may wait until its key has an owner again: for a part of its latency target, so that a refusal
 // never comes late.
 func (m *RequestMachine) mayWaitForOwner(now time.Duration) bool {
-	return now-m.Begun < targetOf(m.Route)/constants.ParkParts && len(m.tried) == 0
+	return now-m.Begun < targetOf(m.Route)/constants.OwnerWaitParts && len(m.tried) == 0
 }
 
 // expire ends a request whose time is over.
--- a/internal/gateway/request_machine_test.go
+++ b/internal/gateway/request_machine_test.go
@@ -29,7 +29,7 @@
 func (p *play) feed(names ...string) string {
 	for _, name := range names {
 		if name == "later" {
-			p.now += constants.ParkPoll
+			p.now += constants.OwnerPollEvery
 			continue
 		}
 		p.last = p.machine.Next(p.now, p.view, Event{Kind: events[name], Reason: name})
@@ -266,7 +266,7 @@
 			p.feed("woken")
 		}
 		took, aim := p.now-p.machine.Begun, time.Duration(max(target, 100))*time.Millisecond
-		if took > aim/4 && took > constants.ParkPoll*2 && took < 2*time.Second || took > 2*time.Second || p.last.Kind != OrderRefuse {
+		if took > aim/4 && took > constants.OwnerPollEvery*2 && took < 2*time.Second || took > 2*time.Second || p.last.Kind != OrderRefuse {
 			t.Fatalf("target %d ms: refused after %v, %v", target, took, p.last)
 		}
 	}
