--- a/internal/controlplane/local.go
+++ b/internal/controlplane/local.go
@@ -32,8 +32,10 @@
 	Opened map[string]time.Duration
 	// PeersAt is when this node last heard from half of its region's ready nodes; only fleets of entries fill it in.
 	PeersAt time.Duration
-	// Leader is the leader's address as far as it is known, System the system's id, Role this node's part in the log.
+	// Leader is the leader's address as far as it is known, Source that of the member that a reader takes its rows from, System the
+	// system's id, Role this node's part in the log.
 	Leader string
+	Source string
 	System string
 	Role   string
 	// Term, Commit, Members and First describe the log of a node that keeps it; First is the index of the snapshot below it.
@@ -67,6 +69,7 @@
 		Fences:         c.state.Fences(),
 		Opened:         c.state.Opened(),
 		Leader:         c.leader,
+		Source:         c.subscription.Source(),
 		System:         c.bootstrap.System(),
 		Role:           roleReader,
 		ListAt:         c.listAt,
--- a/internal/controlplane/machine.go
+++ b/internal/controlplane/machine.go
@@ -59,6 +59,10 @@
 	// leader is the address of the leader as far as it is known, leaderAt when that was last heard.
 	leader   string
 	leaderAt time.Duration
+	// electedTerm is the newest term in which this node was elected, settledTerm the newest of these in which it committed a record or was
+	// replaced; they only serve the log.
+	electedTerm raft.Term
+	settledTerm raft.Term
 	// peers are the nodes of this region by id, with the times at which each was last heard; addresses are where members of
 	// the log sent from.
 	peers     map[string]time.Duration
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -91,7 +91,7 @@
 		return
 	}
 	g.options.Log.Info("no route fits a request", "configuration", local.View.Head.GetVersion(),
-		"ageMilliseconds", (now - local.FreshAt).Milliseconds())
+		"ageMilliseconds", (now - local.FreshAt).Milliseconds(), "role", local.Role, "term", local.Term, "leader", local.Leader, "source", local.Source)
 }
 
 // requestOptions draws the service that the route sends this request to.
--- a/internal/operations/operations.go
+++ b/internal/operations/operations.go
@@ -203,9 +203,19 @@
 		m.handle(p)
 		return
 	}
+	m.logUnanswered(p, response)
 	m.sender.Respond(p.origin.ticket, response)
 }
 
+// logUnanswered logs that a local caller learns nothing of its request's fate: who was asked, and for how long.
+func (m *Manager) logUnanswered(p *pendingRequest, response *schema.OperatorResponse) {
+	switch response.Refusal {
+	case schema.RefusalKind_REFUSAL_NO_LEADER, schema.RefusalKind_REFUSAL_AMBIGUOUS:
+		m.logger.Info("an operator's request has no answer", "kind", p.request.Kind.String(), "reason", response.Message,
+			"heldMilliseconds", (m.now - p.bornAt).Milliseconds(), "recipients", p.recipients)
+	}
+}
+
 func (m *Manager) refuse(p *pendingRequest, refusal *Refusal) {
 	m.respond(p, refusal.response())
 }
