raft, replication: rows are confirmed as of when their holder asked, by a leader that knows what is committed

Cause: an instant of knowledge was taken from one who did not know, or from when it was heard. A leader called its rows confirmed by any round that a majority had answered, though it knows what its predecessors committed only once an entry of its own term is committed and applied (Raft dissertation, 6.4). Followers took the commit index of any append, and stamped it with the instant at which they read the frame: one that waited in a socket through a freeze or a cut made old rows look new. Readers took over both.

Now a follower's response carries a numbered question, and the leader's next append repeats the newest one with the age of its own knowledge: none before it has committed in its term. The follower counts that age back from when it asked, on its own clock, so a late frame proves nothing newer; the number is of one incarnation. Readers did the same already (subscription serials). One rule serves leader, follower and reader; ages are rounded up. LeadershipConfirmedAt stays as it is: leases rest on it.

DeposedLeaderSpan is gone: a 404 needs rows confirmed within apply-within. A follower's rows are now up to two heartbeats old in the calm, so rows count as confirmed for SourceTimeout and two heartbeats; a source that is cut off is left as soon after as before.

--- a/internal/constants/raft.go
+++ b/internal/constants/raft.go
@@ -55,9 +55,6 @@
 	MinRoutedElection = time.Second
 	// RoutedElectionSpread is the most that is drawn on top of MinRoutedElection.
 	RoutedElectionSpread = 600 * time.Millisecond
-	// DeposedLeaderSpan is how long a leader without a majority may go on after another one can have been elected: it leads no
-	// more after two election time-outs, one of which passes before an election.
-	DeposedLeaderSpan = MinRoutedElection
 	// QuietElections (election time-outs) fit into the time after which a fleet without faults must keep every bound again: the
 	// shortest time-out, its spread, and what the new leader does first.
 	QuietElections = 3
--- a/internal/controlplane/effects.go
+++ b/internal/controlplane/effects.go
@@ -97,7 +97,7 @@
 func (c *Machine) TakeIndependent() Effects {
 	if c.raft != nil {
 		c.apply()
-		c.state.Refresh(c.now)
+		c.refresh()
 		c.publishDeltas()
 	}
 	if c.refused != nil {
@@ -118,8 +118,8 @@
 		return
 	}
 	c.raft.Synced(now, effects.Raft)
-	defer c.state.Refresh(now)
 	c.apply()
+	c.refresh()
 	for _, number := range effects.Raft.Reads {
 		c.operations.ReadConfirmed(now, number)
 	}
--- a/internal/controlplane/local.go
+++ b/internal/controlplane/local.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"topazshed/internal/raft"
 	"topazshed/internal/schema"
 	"topazshed/internal/store"
 )
@@ -97,7 +96,4 @@
 	local.Commit = uint64(c.raft.CommitIndex())
 	local.Members = c.raft.Members()
 	local.First = uint64(c.raft.SnapshotIndex())
-	if c.raft.Role() == raft.Leader {
-		local.FreshAt = c.raft.LeadershipConfirmedAt()
-	}
 }
--- a/internal/controlplane/receive.go
+++ b/internal/controlplane/receive.go
@@ -87,7 +87,7 @@
 	}
 	c.leader, c.leaderAt = f.Address, c.now
 	if message.Kind == schema.RaftKind_RAFT_APPEND {
-		c.state.ObserveCommit(c.now, raft.Index(message.Commit))
+		c.state.ObserveCommit(raft.Index(message.Commit))
 	}
 }
 
--- a/internal/controlplane/replication.go
+++ b/internal/controlplane/replication.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"topazshed/internal/raft"
 	"topazshed/internal/replication"
 	"topazshed/internal/schema"
 	"topazshed/internal/store"
@@ -12,14 +11,15 @@
 // newSubscription makes the reader's side of replication; a node that keeps the log has one too and never steps it.
 func (c *Machine) newSubscription(firstSerial uint64) *replication.Subscription {
 	options := replication.SubscriptionOptions{
-		Region:      c.self.Region,
-		Seeds:       c.options.Seeds,
-		FirstSerial: firstSerial,
-		Draw:        c.options.Draw,
-		Log:         c.log,
-		Base:        store.CommonPrefixes,
-		RenewEvery:  c.timing.SubscribeInterval,
-		DigestEvery: c.timing.DigestInterval,
+		Region:          c.self.Region,
+		Seeds:           c.options.Seeds,
+		FirstSerial:     firstSerial,
+		Draw:            c.options.Draw,
+		Log:             c.log,
+		Base:            store.CommonPrefixes,
+		RenewEvery:      c.timing.SubscribeInterval,
+		DigestEvery:     c.timing.DigestInterval,
+		ConfirmedWithin: c.timing.ConfirmedWithin,
 	}
 	if c.options.Routes != nil {
 		options.Base = store.RoutedPrefixes
@@ -36,9 +36,6 @@
 		return replication.Confirmation{}
 	}
 	confirmation := replication.Confirmation{IsMember: true, Age: c.now - c.state.FreshAt()}
-	if c.raft.Role() == raft.Leader {
-		confirmation.Age = c.now - c.raft.LeadershipConfirmedAt()
-	}
 	if c.options.Routes != nil {
 		confirmation.Leader = c.leader
 	}
--- a/internal/controlplane/state.go
+++ b/internal/controlplane/state.go
@@ -60,6 +60,12 @@
 	c.operations.Resume(c.now)
 }
 
+// refresh compares the applied state with what is known to be committed.
+func (c *Machine) refresh() {
+	c.state.Confirm(c.raft.Confirmed())
+	c.state.Refresh(c.now)
+}
+
 // noteApplied tells the parts that wait for it that an item of the log is applied.
 func (c *Machine) noteApplied(applied statemachine.AppliedItem) {
 	item := applied.Item
--- a/internal/controlplane/tick.go
+++ b/internal/controlplane/tick.go
@@ -22,7 +22,7 @@
 	if c.raft != nil {
 		c.raft.Tick(now)
 		c.lead()
-		c.state.Refresh(now)
+		c.refresh()
 	}
 	if c.heartbeats.IsDue(now) {
 		c.sendHeartbeat()
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -78,10 +78,10 @@
 }
 
 // mayLackRoutes tells whether a configuration may be in force that this node does not know: a majority has not confirmed its
-// rows for so long that one acknowledged since must be in force, and a deposed leader may have confirmed them last.
+// rows for so long that one acknowledged since must be in force.
 func (g *Gateway) mayLackRoutes(local *controlplane.Local, now time.Duration) bool {
 	within := g.options.Bounds.ApplyWithin
-	return within > 0 && now-local.FreshAt+constants.DeposedLeaderSpan >= within
+	return within > 0 && now-local.FreshAt >= within
 }
 
 // logNoRoute logs, at most once in noRouteLogEvery, by how old a state a request was answered that no route fits.
--- a/internal/raft/node.go
+++ b/internal/raft/node.go
@@ -5,6 +5,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"topazshed/internal/inflight"
 	"topazshed/internal/schema"
 )
 
@@ -72,6 +73,10 @@
 	installing   *schema.Snapshot
 	isInstalling bool
 
+	// questions are those that this member has asked its leaders, confirmed is what the newest answer told.
+	questions *inflight.Requests
+	confirmed confirmation
+
 	// The rest is a leader's state.
 	progress  map[string]*progress
 	electedAt time.Duration
@@ -106,6 +111,7 @@
 	n.syncedHardState = n.hardState()
 	n.resetElectionTimer(now)
 	n.electionAt -= n.timing.ElectionTimeout * 3 / 4
+	n.questions = inflight.New(uint64(options.Draw(inflight.FirstSerialLimit)))
 	return n
 }
 
--- a/internal/raft/progress.go
+++ b/internal/raft/progress.go
@@ -17,6 +17,8 @@
 	isProbing bool
 	// acknowledgedRound is the newest round of messages that the member has answered.
 	acknowledgedRound uint64
+	// question is the newest one that the member has asked; 0 is none.
+	question uint64
 	// heardAt is when the member last answered.
 	heardAt time.Duration
 	// snapshotSentAt is when a member that takes no parts was last sent a whole snapshot.
--- a/internal/raft/replication.go
+++ b/internal/raft/replication.go
@@ -50,7 +50,8 @@
 		n.progress[id] = p
 	}
 	if p.next < n.log.firstIndex() {
-		n.send(&schema.Raft{Kind: schema.RaftKind_RAFT_APPEND, To: id, Round: n.round})
+		n.send(&schema.Raft{Kind: schema.RaftKind_RAFT_APPEND, To: id, Commit: uint64(n.log.committed), Round: n.round,
+			Confirmation: n.answerQuestion(p)})
 		n.sendSnapshot(id, p)
 		return
 	}
@@ -61,7 +62,7 @@
 		p.next += Index(len(entries))
 	}
 	n.send(&schema.Raft{Kind: schema.RaftKind_RAFT_APPEND, To: id, Index: uint64(previous), LogTerm: uint64(previousTerm),
-		Commit: uint64(n.log.committed), Round: n.round, Items: entries})
+		Commit: uint64(n.log.committed), Round: n.round, Items: entries, Confirmation: n.answerQuestion(p)})
 }
 
 // batch returns the entries for one message: one while probing, otherwise as many as fit.
@@ -98,6 +99,7 @@
 // stepAppend takes a leader's entries and answers up to which index the log is the leader's.
 func (n *Node) stepAppend(m *schema.Raft) {
 	n.followSender(m)
+	defer n.takeConfirmation(m)
 	entries := m.Items
 	previous, previousTerm := Index(m.Index), Term(m.LogTerm)
 	for len(entries) > 0 && previous < n.log.snapshotIndex {
@@ -120,7 +122,8 @@
 }
 
 func (n *Node) sendAppendResponse(m *schema.Raft, match Index) {
-	n.send(&schema.Raft{Kind: schema.RaftKind_RAFT_APPEND_RESPONSE, To: m.From, Round: m.Round, Index: uint64(match)})
+	n.send(&schema.Raft{Kind: schema.RaftKind_RAFT_APPEND_RESPONSE, To: m.From, Round: m.Round, Index: uint64(match),
+		Question: n.ask(m.From)})
 }
 
 // rejectAppend tells the leader that the logs differ at an index. The hint is where it should try next: below all
@@ -136,7 +139,7 @@
 		}
 	}
 	n.send(&schema.Raft{Kind: schema.RaftKind_RAFT_APPEND_RESPONSE, To: m.From, Round: m.Round,
-		Rejected: true, TakesParts: true, Hint: uint64(hint)})
+		Rejected: true, TakesParts: true, Hint: uint64(hint), Question: n.ask(m.From)})
 }
 
 // rejectStaleTerm tells a leader of an earlier term of this member's term; other old messages get no answer.
@@ -154,6 +157,7 @@
 		return
 	}
 	p.recordResponse(n.now, m.Round)
+	p.question = m.Question
 	p.acceptsParts = p.acceptsParts || m.TakesParts
 	if m.Rejected {
 		p.next = min(max(Index(m.Hint)+1, p.match+1), n.log.lastIndex()+1)
--- a/internal/replication/fixture_test.go
+++ b/internal/replication/fixture_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"topazshed/internal/constants"
 	"topazshed/internal/frame"
 	"topazshed/internal/schema"
 	"topazshed/internal/store"
@@ -53,15 +54,16 @@
 func newReader(t *testing.T, change func(*SubscriptionOptions), nodes ...*schema.Node) *reader {
 	t.Helper()
 	options := SubscriptionOptions{
-		Region:      homeRegion,
-		Seeds:       []string{"seed"},
-		Draw:        func(int64) int64 { return 0 },
-		Log:         slog.New(slog.NewTextHandler(io.Discard, nil)),
-		Base:        []string{"node/"},
-		RenewEvery:  500 * time.Millisecond,
-		DigestEvery: 2 * time.Second,
-		PrefersHome: true,
-		RemoteAfter: 2500 * time.Millisecond,
+		Region:          homeRegion,
+		Seeds:           []string{"seed"},
+		Draw:            func(int64) int64 { return 0 },
+		Log:             slog.New(slog.NewTextHandler(io.Discard, nil)),
+		Base:            []string{"node/"},
+		RenewEvery:      500 * time.Millisecond,
+		ConfirmedWithin: constants.SourceTimeout,
+		DigestEvery:     2 * time.Second,
+		PrefersHome:     true,
+		RemoteAfter:     2500 * time.Millisecond,
 	}
 	if change != nil {
 		change(&options)
--- a/internal/replication/publisher.go
+++ b/internal/replication/publisher.go
@@ -123,7 +123,7 @@
 		From:   uint64(reader.sent),
 		To:     uint64(p.table.Version()),
 		Serial: reader.serial,
-		AgeMs:  uint32(age.Milliseconds()),
+		AgeMs:  schema.AgeMs(age),
 		Leader: confirmation.Leader,
 	}
 	changed, isRemembered := p.table.Changes(reader.sent, reader.prefixes)
--- a/internal/replication/replication.go
+++ b/internal/replication/replication.go
@@ -8,7 +8,7 @@
 // Invariants:
 //   - A reader installs only rows that it asked for, from the node that it asked: a delta bears the serial number of a subscription of this
 //     incarnation.
-//   - A reader prefers rows that a majority confirmed within constants.SourceTimeout. A source that is silent, or whose rows no majority has
+//   - A reader prefers rows that a majority confirmed within SubscriptionOptions.ConfirmedWithin. A source that is silent, or whose rows no majority has
 //     confirmed for that long, is left for another; a node that is not the source is heeded only with confirmed rows.
 //   - A reader's table changes only in whole deltas that join its version without a gap.
 //   - Only a member of the log publishes, and each delta tells how long ago a majority last confirmed what it says.
--- a/internal/replication/subscription.go
+++ b/internal/replication/subscription.go
@@ -56,6 +56,8 @@
 	BaseOnly bool
 	// RenewEvery is the pause between two renewals of the subscription.
 	RenewEvery time.Duration
+	// ConfirmedWithin is how old rows may be that count as confirmed.
+	ConfirmedWithin time.Duration
 	// DigestEvery is the pause between two comparisons of digests with the source.
 	DigestEvery time.Duration
 	// PrefersHome says that a source in another region is taken only once none was found in the own region for RemoteAfter, and that it is
@@ -186,7 +188,7 @@
 		return Effects{}
 	}
 	age := time.Duration(delta.AgeMs) * time.Millisecond
-	isConfirmed := age < constants.SourceTimeout
+	isConfirmed := age < s.options.ConfirmedWithin
 	if !s.mayTake(now, from, isConfirmed) {
 		return Effects{}
 	}
--- a/internal/timing/timing.go
+++ b/internal/timing/timing.go
@@ -29,6 +29,8 @@
 	DeltaInterval time.Duration
 	// SubscribeInterval is the pause after which a reader renews its subscription.
 	SubscribeInterval time.Duration
+	// ConfirmedWithin is how old rows may be that count as confirmed. A source whose rows are older is left.
+	ConfirmedWithin time.Duration
 	// DigestInterval is the pause between two comparisons of a reader's ranges with its source.
 	DigestInterval time.Duration
 	// RemoteSourceAfter is how long a reader looks for a source in its own region before it takes one in another
@@ -43,6 +45,7 @@
 		LostAfter:         constants.NodeLostAfter,
 		DeltaInterval:     constants.DeltaEvery,
 		SubscribeInterval: constants.SubscribeEvery,
+		ConfirmedWithin:   confirmedWithin(raft.DefaultTiming()),
 		DigestInterval:    constants.DigestEvery,
 	}
 }
@@ -63,11 +66,18 @@
 		LostAfter:         constants.RoutedLostAfter,
 		DeltaInterval:     constants.RoutedDelta,
 		SubscribeInterval: constants.RoutedSubscribe,
+		ConfirmedWithin:   confirmedWithin(raftForRoutes(recoveryBound)),
 		DigestInterval:    constants.RoutedDigest,
 		RemoteSourceAfter: remoteSourceAfter(recoveryBound, applyBound),
 	}
 }
 
+// confirmedWithin allows the time-out of a source on top of the age that a follower's rows have in the calm: its leader tells of a round of
+// messages with the next one, in answer to a question that followed the one before.
+func confirmedWithin(raft raft.Timing) time.Duration {
+	return constants.SourceTimeout + 2*raft.HeartbeatInterval
+}
+
 // raftForRoutes scales raft's timing down, its parts in proportion, so that constants.QuietElections shortest elections
 // fit into the bound.
 func raftForRoutes(recoveryBound time.Duration) raft.Timing {
--- a/internal/timing/timing_test.go
+++ b/internal/timing/timing_test.go
@@ -48,6 +48,7 @@
 		LostAfter:         constants.NodeLostAfter,
 		DeltaInterval:     constants.DeltaEvery,
 		SubscribeInterval: constants.SubscribeEvery,
+		ConfirmedWithin:   constants.SourceTimeout + 2*constants.RaftHeartbeat,
 		DigestInterval:    constants.DigestEvery,
 	}
 	if got := timing.ForEntries(); got != want {
