controlplane: a node leads once it has applied what is committed

TestANodeLeadsOnlyOnceItHasAppliedWhatIsCommitted failed before: it led with the rows up to record 13 of 14.

--- a/internal/controlplane/machine.go
+++ b/internal/controlplane/machine.go
@@ -138,8 +138,8 @@
 // firstSerial draws where this incarnation begins to number its requests, so that a response to a former incarnation's is known as stale.
 func (c *Machine) firstSerial() uint64 { return uint64(c.options.Draw(inflight.FirstSerialLimit)) }
 
-// IsLeading tells whether this node leads and has settled.
-func (c *Machine) IsLeading() bool { return c.raft != nil && c.raft.HasCommittedInTerm() }
+// IsLeading tells whether this node leads and its rows hold all that earlier leaders have committed.
+func (c *Machine) IsLeading() bool { return c.raft != nil && c.raft.HasAppliedInTerm() }
 
 // isFull tells whether this node keeps the log as a voter or a learner, and so holds all rows.
 func (c *Machine) isFull() bool {
--- a/internal/controlplane/requests_test.go
+++ b/internal/controlplane/requests_test.go
@@ -23,6 +23,8 @@
 	isDown    map[string]bool
 	responses map[operations.Ticket]*schema.OperatorResponse
 	ticket    operations.Ticket
+	// received is called after a machine has taken a frame and before it has performed what follows; nil is nothing.
+	received func(*Machine)
 }
 
 func newFleet(t *testing.T) *fleet { return newFleetOf(t) }
@@ -62,6 +64,9 @@
 				for _, s := range effects.Sends {
 					if to := f.machines[s.To]; to != nil && !f.isDown[s.To] {
 						to.Receive(f.now, s.Frame)
+						if f.received != nil {
+							f.received(to)
+						}
 					}
 				}
 			}
--- a/internal/raft/node.go
+++ b/internal/raft/node.go
@@ -154,6 +154,13 @@
 	return n.role == Leader && term == n.term
 }
 
+// HasAppliedInTerm tells whether this member leads and has handed out an entry of its own term to be applied. From then on the applied state
+// holds all that earlier leaders have committed.
+func (n *Node) HasAppliedInTerm() bool {
+	term, _ := n.log.term(n.log.applied)
+	return n.role == Leader && term == n.term
+}
+
 // Tick passes the time: a leader sends heartbeats and steps down without a quorum, another voter starts an election
 // after its timeout.
 func (n *Node) Tick(now time.Duration) {
