--- a/internal/operations/operations.go
+++ b/internal/operations/operations.go
@@ -199,8 +199,8 @@
 		m.sender.Send(p.origin.address, &schema.Frame{Call: p.origin.call, Body: body})
 		return
 	}
-	if m.decidesZoneAnew(p, response) {
-		m.handle(p)
+	if isStaleZone(p.request, response) {
+		m.decideZoneAnew(p, response.Index)
 		return
 	}
 	m.logUnanswered(p, response)
--- a/internal/operations/zone.go
+++ b/internal/operations/zone.go
@@ -69,19 +69,16 @@
 	p.setBase(base)
 }
 
-// decidesZoneAnew tells whether a change of a zone that was made on an older row is decided once more on the newest one: its caller
-// still waits, so it has made no newer request, and there is time.
-func (m *Manager) decidesZoneAnew(p *pendingRequest, response *schema.OperatorResponse) bool {
-	if !isStaleZone(p.request, response) {
-		return false
-	}
-	p.setBase(response.Index)
+// decideZoneAnew decides a change of a zone that was made on an older row once more on the newest one while its caller still waits, so that it has
+// made no newer request, and there is time; otherwise it refuses the change.
+func (m *Manager) decideZoneAnew(p *pendingRequest, newest uint64) {
+	p.setBase(newest)
 	if m.now >= forwardingEnds(p) || p.origin.isGone() {
-		*response = *noLeader("the zone was changed meanwhile", "ask again").response()
-		return false
+		m.refuse(p, noLeader("the zone was changed meanwhile", "ask again"))
+		return
 	}
 	p.isLeaderConfirmed = false
-	return true
+	m.handle(p)
 }
 
 func isZoneChange(kind schema.OperatorKind) bool {
--- a/internal/sockets/sockets.go
+++ b/internal/sockets/sockets.go
@@ -47,13 +47,9 @@
 // IsQuiet tells whether an idle connection is open and nothing has arrived on it. It reads nothing; a connection that is not TCP counts
 // as quiet.
 func IsQuiet(conn net.Conn) bool {
-	tcp, isTCP := conn.(*net.TCPConn)
-	if !isTCP {
-		return true
-	}
-	raw, err := tcp.SyscallConn()
-	if err != nil {
-		return false
+	raw, err := rawConnOf(conn)
+	if raw == nil {
+		return err == nil
 	}
 	isQuiet := true
 	err = raw.Read(func(fd uintptr) bool {
@@ -81,13 +77,9 @@
 // IsClosedByPeer tells whether the other end has closed or reset a connection that is being read elsewhere. It reads nothing; what is no TCP
 // connection counts as open, and so does one on which bytes wait before its end.
 func IsClosedByPeer(conn net.Conn) bool {
-	tcp, isTCP := conn.(*net.TCPConn)
-	if !isTCP {
-		return false
-	}
-	raw, err := tcp.SyscallConn()
-	if err != nil {
-		return true
+	raw, err := rawConnOf(conn)
+	if raw == nil {
+		return err != nil
 	}
 	isClosed := false
 	// Control and not Read, which would wait for the reader of the connection.
@@ -98,6 +90,19 @@
 	return err != nil || isClosed
 }
 
+// rawConnOf gives the raw connection below a TCP connection, and nil below any other.
+func rawConnOf(conn net.Conn) (syscall.RawConn, error) {
+	tcp, isTCP := conn.(*net.TCPConn)
+	if !isTCP {
+		return nil, nil
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return nil, err
+	}
+	return raw, nil
+}
+
 // peek looks at the first byte that has arrived on a socket: 0 bytes without an error are the connection's end.
 func peek(fd uintptr) (n int, err error) {
 	var first [1]byte
