settings: a fleet of routes of our own bounds the age of the rows behind a 404

A fleet with settings of our own had no bound, so a node answered 404 for a route that it did not know by rows of any age. apply_within_ms, 2,500 by default, is that bound now; it also shortens the search for a source, as on the platform.

--- a/internal/node/native_platform.go
+++ b/internal/node/native_platform.go
@@ -42,6 +42,7 @@
 			RetrySlack:  routes.RetrySlack,
 			ColdExcess:  routes.ColdExcess,
 			ColdMargin:  routes.ColdMargin,
+			ApplyWithin: milliseconds(routes.ApplyWithinMS),
 		},
 		MaxHold:    milliseconds(routes.HoldMostMS),
 		ListLag:    milliseconds(routes.ListLagMS),
--- a/internal/settings/routes.go
+++ b/internal/settings/routes.go
@@ -23,6 +23,8 @@
 	ListRate  float64 `json:"list_rate"`
 	// StopGraceMS is the time that a stopping process has.
 	StopGraceMS int64 `json:"stop_grace_ms"`
+	// ApplyWithinMS is how long after its acknowledgement a configuration must be in force at every machine.
+	ApplyWithinMS int64 `json:"apply_within_ms"`
 	// MatchLifeMS is the longest time that callers use a response of the directory.
 	MatchLifeMS int64 `json:"match_life_ms"`
 }
@@ -37,6 +39,7 @@
 		HoldMostMS:    10_000,
 		ListLagMS:     1000,
 		StopGraceMS:   6000,
+		ApplyWithinMS: 2500,
 		MatchLifeMS:   5000,
 	}
 }
@@ -69,6 +72,7 @@
 		{"list_lag_ms", float64(r.ListLagMS), 0},
 		{"list_rate", r.ListRate, 0},
 		{"stop_grace_ms", float64(r.StopGraceMS), 500},
+		{"apply_within_ms", float64(r.ApplyWithinMS), 1000},
 		{"match_life_ms", float64(r.MatchLifeMS), 500},
 	} {
 		if bound.value < bound.least {
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -28,7 +28,7 @@
 		{"a file that is no JSON", `peer=1`, nil, []string{"settings"}},
 		{"routes by a flag", "", append(slices.Clone(good), "-routes"), nil},
 		{"routes with some bounds", `{"routes":{"retry_ratio":0.1}}`, good, nil},
-		{"routes with bounds that can't be kept", `{"routes":{"retry_ratio":-1,"retry_window_ms":5,"list_rate":-3,"stop_grace_ms":0}}`, good, []string{"routes.retry_ratio", "routes.retry_window_ms", "routes.list_rate", "routes.stop_grace_ms"}},
+		{"routes with bounds that can't be kept", `{"routes":{"retry_ratio":-1,"retry_window_ms":5,"list_rate":-3,"stop_grace_ms":0,"apply_within_ms":9}}`, good, []string{"routes.retry_ratio", "routes.retry_window_ms", "routes.list_rate", "routes.stop_grace_ms", "routes.apply_within_ms"}},
 		{"routes with an unknown bound", `{"routes":{"colour":1}}`, good, []string{"settings"}},
 		{"flags override the file", `{"peer":"nonsense"}`, good, nil},
 	} {
