testfleet: the soak adds routes in series, asks all machines for them, slows disks and loses some at the end

Beside the zone's calls an operator now adds a route with each of a series of changes, machines are asked for routes whose bound has passed (404 is a violation; refusals are not), disks become slow with a restart in the middle, and at the end all processes are killed while a change is on its way, one or two disks of six are emptied, and within 15 s every machine must read back what was acknowledged and serve its newest route. -more N adds machines without a disk.

--- a/cmd/testfleet/fleet.go
+++ b/cmd/testfleet/fleet.go
@@ -78,9 +78,11 @@
 	history     *checker.History
 	// routes are the route settings of a fleet that carries routes; nil for one that serves entries.
 	routes *routeSettings
+	// more is how many machines without a disk each zone has beyond the usual ones.
+	more int
 }
 
-// Fleet runs the processes of 15 machines in six zones, each behind relays.
+// Fleet runs the processes of 15 machines, or more, in six zones, each behind relays.
 type Fleet struct {
 	fleetOptions
 	links    *Links
@@ -96,7 +98,7 @@
 	f := &Fleet{fleetOptions: options}
 	f.links = newLinks(func(from, to string) time.Duration { return delayBetween(zoneOfLink(from), zoneOfLink(to)) })
 	for zone, place := range zonePlaces {
-		count := 3 - zone%2
+		count := 3 - zone%2 + options.more
 		for number := 1; number <= count; number++ {
 			f.addMachine(place, zone, number)
 		}
--- a/cmd/testfleet/routed.go
+++ b/cmd/testfleet/routed.go
@@ -50,6 +50,10 @@
 	seconds, rate             int
 	seed                      int64
 	isDemo                    bool
+	// hasFaultyDisks has machines with a disk run by this program, so that their disks can be made slow.
+	hasFaultyDisks bool
+	// more is how many machines without a disk each zone has beyond the usual ones.
+	more int
 }
 
 // routedCommand runs a fleet of real processes that carries routes, with a fixed schedule of faults or as a demo.
@@ -170,11 +174,17 @@
 		logLevel:    options.logLevel,
 		history:     newHistory(),
 		routes:      &routeSettings{RetrySlack: 60, ColdMargin: 5, StopGraceMs: 4000},
+		more:        options.more,
 	})
 	if err != nil {
 		return nil, nil, err
 	}
 	closers = append(closers, fleet.close)
+	if options.hasFaultyDisks {
+		if fleet.faultyDiskProgram, err = os.Executable(); err != nil {
+			return nil, nil, err
+		}
+	}
 	if err := fleet.startAll(); err != nil {
 		return nil, nil, err
 	}
--- a/cmd/testfleet/soak.go
+++ b/cmd/testfleet/soak.go
@@ -42,11 +42,11 @@
 func (*soakCommand) Name() string { return "soak" }
 
 func (*soakCommand) Synopsis() string {
-	return "empty and restore a zone in series amid overlapping faults, restarts and changes, and check that no request goes where it must not"
+	return "change routes and a zone in series amid overlapping faults and restarts, lose disks at the end, and check what machines serve, deny and read back"
 }
 
 func (*soakCommand) Usage() string {
-	return "soak [-program FILE] [-folder DIR] [-seeds N-M] [-storms N]; each seed is a new fleet of real processes\n"
+	return "soak [-program FILE] [-folder DIR] [-seeds N-M] [-storms N] [-more N]; each seed is a new fleet of real processes\n"
 }
 
 func (c *soakCommand) SetFlags(flags *flag.FlagSet) {
@@ -56,16 +56,23 @@
 	flags.StringVar(&o.logLevel, "log-level", "info", "log level of the processes")
 	flags.StringVar(&o.seeds, "seeds", "1", "seeds of the faults, the load and the stand-ins: 1-50 or 7")
 	flags.IntVar(&o.storms, "storms", 2, "storms a seed, from 1 to 100")
+	flags.IntVar(&o.more, "more", 0, "machines without a disk in each zone beyond the usual 15 in all, from 0 to 30")
 }
 
-// maxStorms bounds a soak of one seed.
-const maxStorms = 100
+// maxStorms bounds a soak of one seed, maxMore the further machines of each zone.
+const (
+	maxStorms = 100
+	maxMore   = 30
+)
 
 func (c *soakCommand) Execute(ctx context.Context, flags *flag.FlagSet, _ ...any) subcommands.ExitStatus {
 	seeds, err := readSeeds(c.options.seeds)
 	if c.options.storms < 1 || c.options.storms > maxStorms {
 		err = errors.Join(err, fmt.Errorf("-storms %d is not from 1 to %d; give one that is", c.options.storms, maxStorms))
 	}
+	if c.options.more < 0 || c.options.more > maxMore {
+		err = errors.Join(err, fmt.Errorf("-more %d is not from 0 to %d; give one that is", c.options.more, maxMore))
+	}
 	if err != nil || flags.NArg() > 0 {
 		fmt.Fprintln(os.Stderr, errors.Join(err, flagsOnly(flags.Args())))
 		return subcommands.ExitUsageError
@@ -97,7 +104,7 @@
 // play plays one seed's storms on a new fleet and gives what was broken.
 func (c *soakCommand) play(ctx context.Context, seed int64) ([]string, error) {
 	options := c.options.routedOptions
-	options.seed = seed
+	options.seed, options.hasFaultyDisks = seed, true
 	r, closeAll, err := openRouted(options)
 	if err != nil {
 		return nil, err
@@ -115,11 +122,24 @@
 		<-loaded
 	}()
 	s := newSoak(r, random)
+	asked := make(chan struct{})
+	askCtx, stopAsking := context.WithCancel(ctx)
+	go func() {
+		s.askForRoutes(askCtx, rand.New(rand.NewSource(seed+1)))
+		close(asked)
+	}()
+	defer func() {
+		stopAsking()
+		<-asked
+	}()
 	for range c.options.storms {
 		if err := s.storm(ctx); err != nil {
 			return nil, err
 		}
 	}
+	if err := s.close(ctx); err != nil {
+		return nil, err
+	}
 	s.summarise(seed)
 	return r.platform.allViolations(), nil
 }
--- a/cmd/testfleet/soak_storm.go
+++ b/cmd/testfleet/soak_storm.go
@@ -10,10 +10,12 @@
 	"math/rand"
 	"net/http"
 	"net/url"
-	"strings"
+	"os"
 	"sync"
 	"syscall"
 	"time"
+
+	"golang.org/x/sync/errgroup"
 )
 
 const (
@@ -23,6 +25,12 @@
 	maxFaultyDisks = 2
 	// checkedMachines is how many machines are asked for the zone's state after each call.
 	checkedMachines = 4
+	// zoneDisturbedOdds and changeDisturbedOdds are one in how many calls for the zone, and changes of the configuration, go to a machine that is
+	// disturbed.
+	zoneDisturbedOdds   = 2
+	changeDisturbedOdds = 6
+	// maxSyncPause is how much longer a sync of a slow disk takes at most.
+	maxSyncPause = 400 * time.Millisecond
 	// maxDraining is how many back ends drain for good.
 	maxDraining = 6
 )
@@ -32,20 +40,20 @@
 	run    *routedRun
 	random *rand.Rand
 	// zone is the one that is emptied and restored.
-	zone string
-	// version is that of the newest configuration, extra how many routes were added to the first.
-	version uint64
-	extra   int
-	calls   int
-	faults  int
+	zone   string
+	routes addedRoutes
+	calls  int
+	faults int
 
+	// lock guards what follows; asked counts the answers to requests for added routes by status.
 	lock      sync.Mutex
 	disturbed map[*Machine]bool
+	asked     map[int]int
 }
 
 func newSoak(r *routedRun, random *rand.Rand) *soak {
 	place := zonePlaces[random.Intn(len(zonePlaces))]
-	return &soak{run: r, random: random, zone: place.zone, version: 1, disturbed: map[*Machine]bool{}}
+	return &soak{run: r, random: random, zone: place.zone, disturbed: map[*Machine]bool{}, asked: map[int]int{}}
 }
 
 // storm lets faults, changes and the operator's calls overlap, then leaves the fleet alone with the zone emptied and checks it.
@@ -53,13 +61,16 @@
 	var ends sync.WaitGroup
 	stormCtx, cancel := context.WithTimeout(ctx, stormTime)
 	defer cancel()
-	operated := make(chan error, 1)
-	go func(random *rand.Rand) { operated <- s.operateInSeries(stormCtx, random) }(rand.New(rand.NewSource(s.random.Int63())))
+	var operators errgroup.Group
+	for _, operate := range []func(context.Context, *rand.Rand) error{s.operateInSeries, s.changeInSeries} {
+		random := rand.New(rand.NewSource(s.random.Int63()))
+		operators.Go(func() error { return operate(stormCtx, random) })
+	}
 	for stormCtx.Err() == nil {
 		s.disturb(&ends)
 		sleep(stormCtx, time.Duration(200+s.random.Intn(700))*time.Millisecond)
 	}
-	if err := <-operated; err != nil {
+	if err := operators.Wait(); err != nil {
 		return err
 	}
 	// Faults that still last may hold up older calls, which must not undo this one.
@@ -72,7 +83,7 @@
 	return s.check(ctx, time.Now(), emptiedAt, index)
 }
 
-// operateInSeries empties and restores the zone and changes the configuration, again and again, until the context ends.
+// operateInSeries empties and restores the zone, again and again, until the context ends.
 func (s *soak) operateInSeries(ctx context.Context, random *rand.Rand) error {
 	for turn := 0; ctx.Err() == nil; turn++ {
 		action := "empty"
@@ -83,11 +94,6 @@
 		if err != nil {
 			return err
 		}
-		if random.Intn(2) == 0 {
-			if err := s.changeConfiguration(); err != nil {
-				return err
-			}
-		}
 		sleep(ctx, time.Duration(random.Intn(2000))*time.Millisecond)
 		for range checkedMachines {
 			if m := s.run.fleet.machines[random.Intn(len(s.run.fleet.machines))]; !s.isDisturbed(m) {
@@ -107,7 +113,7 @@
 // call makes a call for the zone, at one machine after the other, until it is acknowledged; it gives the log index at which the zone is so.
 func (s *soak) call(action string) (index uint64, err error) {
 	s.calls++
-	body, err := s.operate(http.MethodPost, "/v1/districts/"+s.zone+"/"+action, nil, "")
+	body, err := s.operate(soakCall{method: http.MethodPost, path: "/v1/districts/" + s.zone + "/" + action, disturbedOdds: zoneDisturbedOdds})
 	if err != nil {
 		return 0, err
 	}
@@ -117,28 +123,24 @@
 	return reply.Index, json.Unmarshal(body, &reply)
 }
 
-// changeConfiguration adds a route.
-func (s *soak) changeConfiguration() error {
-	s.extra++
-	extra := fmt.Sprintf(`{"routes": [
-  {"name": "extra", "host": "extra.example", "prefix": "/%d/", "timeout_ms": 2000, "targets": [{"service": "ledger", "weight": 1}]},`, s.extra)
-	document := strings.Replace(routedDocument, `{"routes": [`, extra, 1)
-	if _, err := s.operate(http.MethodPut, configurationPath, url.Values{"base": {fmt.Sprint(s.version)}}, document); err != nil {
-		return err
-	}
-	s.version++
-	return nil
+// soakCall is a call of an operator in a soak.
+type soakCall struct {
+	method, path string
+	query        url.Values
+	body         string
+	// disturbedOdds is one in how many tries go to a machine that is disturbed, where they may be held up.
+	disturbedOdds int
 }
 
 // operate makes a call as the users' operators do: at another machine after callerTimeout, and never longer than operateLimit. It gives the
 // body of the answer.
-func (s *soak) operate(method, path string, query url.Values, body string) ([]byte, error) {
+func (s *soak) operate(call soakCall) ([]byte, error) {
 	client := http.Client{Timeout: callerTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
 	last := ""
 	for deadline := time.Now().Add(operateLimit); time.Now().Before(deadline); {
-		m := s.pickForCall()
-		address := url.URL{Scheme: "http", Host: m.publicAddress(adminPort), Path: path, RawQuery: query.Encode()}
-		request, err := http.NewRequest(method, address.String(), bytes.NewReader([]byte(body)))
+		m := s.pickForCall(call.disturbedOdds)
+		address := url.URL{Scheme: "http", Host: m.publicAddress(adminPort), Path: call.path, RawQuery: call.query.Encode()}
+		request, err := http.NewRequest(call.method, address.String(), bytes.NewReader([]byte(call.body)))
 		if err != nil {
 			return nil, err
 		}
@@ -149,7 +151,7 @@
 		last = err.Error()
 		time.Sleep(routedPoll)
 	}
-	return nil, fmt.Errorf("%s %s was not taken within %v: %s", method, path, operateLimit, last)
+	return nil, fmt.Errorf("%s %s was not taken within %v: %s", call.method, call.path, operateLimit, last)
 }
 
 // send gives the body of a successful answer.
@@ -165,11 +167,11 @@
 	return io.ReadAll(response.Body)
 }
 
-// pickForCall picks the machine that an operator turns to; half of the calls go to one that is disturbed, where they may be held up.
-func (s *soak) pickForCall() *Machine {
+// pickForCall picks the machine that an operator turns to: one time in so many one that is disturbed.
+func (s *soak) pickForCall(disturbedOdds int) *Machine {
 	s.lock.Lock()
 	defer s.lock.Unlock()
-	if rand.Intn(2) == 0 {
+	if rand.Intn(disturbedOdds) == 0 {
 		for m := range s.disturbed {
 			return m
 		}
@@ -189,6 +191,7 @@
 		return
 	}
 	fleet, span, kind := s.run.fleet, time.Duration(300+s.random.Intn(3500))*time.Millisecond, s.random.Intn(5)
+	pause := time.Duration(s.random.Int63n(int64(maxSyncPause)))
 	ends.Go(func() {
 		defer s.release(m)
 		switch kind {
@@ -206,11 +209,30 @@
 			}
 			s.restart(m)
 		case 4:
-			fleet.signal(m, syscall.SIGHUP)
+			if !m.hasDisk {
+				fleet.signal(m, syscall.SIGHUP)
+				return
+			}
+			s.slowDisk(m, pause, span)
 		}
 	})
 }
 
+// slowDisk has each sync of a machine's disk take so much longer for a while; its process is restarted in the middle of that.
+func (s *soak) slowDisk(m *Machine, pause, span time.Duration) {
+	fleet := s.run.fleet
+	file := fleet.diskFaultFile(m)
+	if err := os.WriteFile(file, []byte(pause.String()), reportMode); err != nil {
+		s.run.platform.reportViolation("no slow disk for %s: %v", m.name, err)
+		return
+	}
+	defer os.Remove(file)
+	time.Sleep(span / 3)
+	fleet.kill(m)
+	s.restart(m)
+	time.Sleep(2 * span / 3)
+}
+
 func (s *soak) restart(m *Machine) {
 	if err := s.run.fleet.start(m); err != nil {
 		s.run.platform.reportViolation("%s does not start: %v", m.name, err)
@@ -314,7 +336,9 @@
 func (s *soak) summarise(seed int64) {
 	s.run.lock.Lock()
 	defer s.run.lock.Unlock()
-	fmt.Printf("soak seed %d: zone %s, %d calls for it, %d changes, %d faults, requests %v\n", seed, s.zone, s.calls, s.extra, s.faults, s.run.ends)
+	changes, _ := s.routes.newest()
+	fmt.Printf("soak seed %d: zone %s, %d calls for it, %d changes, %d faults, requests %v, for added routes %v\n", seed, s.zone, s.calls, changes,
+		s.faults, s.run.ends, s.asked)
 }
 
 func latest(a, b time.Time) time.Time {
--- a/cmd/testfleet/soak_test.go
+++ b/cmd/testfleet/soak_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"flag"
+	"fmt"
 	"math/rand"
+	"strings"
 	"testing"
 	"time"
 
@@ -13,7 +15,7 @@
 )
 
 func TestSoakRefusesFaultyArguments(t *testing.T) {
-	for _, args := range [][]string{{"-seeds", "x"}, {"-seeds", "5-1"}, {"-storms", "0"}, {"-storms", "101"}, {"more"}} {
+	for _, args := range [][]string{{"-seeds", "x"}, {"-seeds", "5-1"}, {"-storms", "0"}, {"-storms", "101"}, {"-more", "-1"}, {"-more", "31"}, {"more"}} {
 		command := &soakCommand{}
 		flags := flag.NewFlagSet("soak", flag.ContinueOnError)
 		command.SetFlags(flags)
@@ -58,3 +60,43 @@
 		})
 	}
 }
+
+// A check that can't fail is none: a 404 is a violation only for a route that every configuration in force must hold.
+func TestSoakKnowsWhichRoutesMustBeInForce(t *testing.T) {
+	now := time.Now()
+	for _, c := range []struct {
+		name   string
+		number int
+		sent   int
+		// age is how long ago the route's change was acknowledged.
+		age  time.Duration
+		want bool
+	}{
+		{"acknowledged long ago", 2, 3, applyBound, true},
+		{"acknowledged just now", 2, 3, applyBound - time.Millisecond, false},
+		{"not acknowledged", 4, 4, applyBound, false},
+		{"before the first", 0, 3, applyBound, false},
+		{"dropped by a change that may be in force", 2, 2 + keptRoutes, applyBound, false},
+		{"the oldest that is kept", 2, 1 + keptRoutes, applyBound, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			acknowledged := []time.Time{now.Add(-c.age), now.Add(-c.age), now.Add(-c.age)}
+			added := addedRoutes{sent: c.sent, acknowledgedAt: acknowledged}
+			if got := added.isInForce(c.number, now); got != c.want {
+				t.Errorf("%v, want %v", got, c.want)
+			}
+		})
+	}
+}
+
+func TestAddedDocumentKeepsTheNewestRoutes(t *testing.T) {
+	if addedDocument(0) != routedDocument {
+		t.Error("without an added route it is not the first configuration")
+	}
+	text := addedDocument(keptRoutes + 2)
+	for number, want := range map[int]bool{2: false, 3: true, keptRoutes + 2: true, keptRoutes + 3: false} {
+		if got := strings.Contains(text, fmt.Sprintf(`"prefix": "/%d/"`, number)); got != want {
+			t.Errorf("route %d: %v, want %v", number, got, want)
+		}
+	}
+}
