--- a/internal/controlplane/bootstrap.go
+++ b/internal/controlplane/bootstrap.go
@@ -46,7 +46,7 @@
 // answerDiscovery tells a node that looks for a system which one this node belongs to, who leads it and whom to ask further.
 func (c *Machine) answerDiscovery(from string, request *schema.DiscoverRequest) {
 	response := c.bootstrap.Answer(c.now, request)
-	response.Leader = c.leader
+	response.Leader = c.leader.address
 	response.FleetVersion = c.shownFleet()
 	c.send(from, &schema.Frame{Body: &schema.Frame_DiscoverResponse{DiscoverResponse: response}})
 }
--- a/internal/controlplane/entry_workload.go
+++ b/internal/controlplane/entry_workload.go
@@ -40,7 +40,7 @@
 // respond gives the response to a heartbeat, with a lease if this node leads and may give one.
 func (w *entryWorkload) respond(heartbeat *schema.Heartbeat) *schema.HeartbeatResponse {
 	c := w.machine
-	response := &schema.HeartbeatResponse{Leader: c.leader, Serial: heartbeat.Serial, Version: uint64(c.state.Version())}
+	response := &schema.HeartbeatResponse{Leader: c.leader.address, Serial: heartbeat.Serial, Version: uint64(c.state.Version())}
 	if c.IsLeading() && c.duties.TakeHeartbeat(c.leaderState(), heartbeat) {
 		lease := c.duties.GrantLease(c.leaderState(), heartbeat.Node.Id, c.state.NewestFence())
 		response.Leader = c.self.Address
--- a/internal/controlplane/fleetview.go
+++ b/internal/controlplane/fleetview.go
@@ -54,7 +54,7 @@
 func (c *Machine) sendSampler(envelopes []frame.Envelope) {
 	for _, envelope := range envelopes {
 		if shuffle := envelope.Frame.GetShuffle(); shuffle != nil {
-			shuffle.System, shuffle.Leader = c.bootstrap.System(), c.leader
+			shuffle.System, shuffle.Leader = c.bootstrap.System(), c.leader.address
 		}
 		c.send(envelope.To, envelope.Frame)
 	}
--- a/internal/controlplane/forward_test.go
+++ b/internal/controlplane/forward_test.go
@@ -39,15 +39,15 @@
 			control.Take()
 			for i, s := range c.steps {
 				if s.leader != "" {
-					control.leader, control.leaderAt = s.leader, now
+					control.leader.observe(s.leader, now)
 				}
 				if s.answer != nil {
-					control.Receive(now, &schema.Frame{System: "x", From: control.leader, Address: control.leader, Call: 5, Response: true, Body: &schema.Frame_OperatorResponse{OperatorResponse: s.answer}})
+					control.Receive(now, &schema.Frame{System: "x", From: control.leader.address, Address: control.leader.address, Call: 5, Response: true, Body: &schema.Frame_OperatorResponse{OperatorResponse: s.answer}})
 				}
 				for until := now + s.after; now < until; {
 					now += 20 * ms
-					if control.leader != "" {
-						control.leaderAt = now
+					if control.leader.address != "" {
+						control.leader.seenAt = now
 					}
 					control.Tick(now)
 				}
@@ -56,7 +56,7 @@
 				for _, send := range effects.Sends {
 					if send.Frame.GetOperatorRequest() != nil {
 						sends++
-						if send.To != control.leader || send.Frame.Call != 5 {
+						if send.To != control.leader.address || send.Frame.Call != 5 {
 							t.Errorf("step %d: sent to %s as call %d", i, send.To, send.Frame.Call)
 						}
 					}
@@ -90,7 +90,7 @@
 			now := time.Hour
 			control := New(now, Options{Self: &schema.Node{Id: "n", Address: "n", Zone: "z", Region: "r"}, Seeds: []string{"s"}, System: "x", Draw: func(int64) int64 { return 0 },
 				Log: slog.New(slog.NewTextHandler(io.Discard, nil)), Routes: &RouteOptions{LongestLease: time.Second, ColdRate: func(*schema.ServicePolicy) int { return 1 }}})
-			control.leader, control.leaderAt = "l", now
+			control.leader.observe("l", now)
 			control.Operate(now, 5, &schema.OperatorRequest{Kind: schema.OperatorKind_OPERATOR_SHOW}, nil)
 			answer := &schema.Frame{System: "x", From: c.from, Address: c.from, Call: c.call, Response: true, Body: &schema.Frame_OperatorResponse{OperatorResponse: &schema.OperatorResponse{Version: 7}}}
 			control.Receive(now, answer)
--- a/internal/controlplane/heartbeat.go
+++ b/internal/controlplane/heartbeat.go
@@ -40,7 +40,7 @@
 		Node:     c.spoken(c.peerSampler.Self()),
 		Version:  c.state.Version(),
 		Suspects: c.peerSampler.Suspects(),
-		Leader:   heartbeat.Leader{Address: c.leader, SeenAt: c.leaderAt},
+		Leader:   heartbeat.Leader{Address: c.leader.address, SeenAt: c.leader.seenAt},
 		IsLeader: c.raft != nil && c.raft.Role() == raft.Leader,
 	}
 	if source, isAlive := c.subscription.LiveSource(c.now); isAlive && c.raft == nil {
@@ -51,8 +51,8 @@
 
 // takeHeartbeatResponse takes the lease that a response grants, and the leader that it names.
 func (c *Machine) takeHeartbeatResponse(from string, response *schema.HeartbeatResponse) {
-	if leader := c.heartbeats.TakeResponse(c.now, from, response, c.leader); leader != nil {
-		c.leader, c.leaderAt = leader.Address, leader.SeenAt
+	if leader := c.heartbeats.TakeResponse(c.now, from, response, c.leader.address); leader != nil {
+		c.leader.observe(leader.Address, leader.SeenAt)
 	}
 }
 
--- a/internal/controlplane/local.go
+++ b/internal/controlplane/local.go
@@ -67,7 +67,7 @@
 		TickAt:         c.tickedAt,
 		Fences:         c.state.Fences(),
 		Opened:         c.state.Opened(),
-		Leader:         c.leader,
+		Leader:         c.leader.address,
 		Source:         c.subscription.Source(),
 		System:         c.bootstrap.System(),
 		Role:           roleReader,
--- a/internal/controlplane/machine.go
+++ b/internal/controlplane/machine.go
@@ -53,16 +53,11 @@
 	operations   *operations.Manager
 
 	// now is the time of the call in progress, tickedAt that of the last tick; thawedAt is when the process last went on after a stall.
-	now      time.Duration
-	tickedAt time.Duration
-	thawedAt time.Duration
-	// leader is the address of the leader as far as it is known, leaderAt when that was last heard.
-	leader   string
-	leaderAt time.Duration
-	// electedTerm is the newest term in which this node was elected, settledTerm the newest of these in which it committed a record or was
-	// replaced; they only serve the log.
-	electedTerm raft.Term
-	settledTerm raft.Term
+	now       time.Duration
+	tickedAt  time.Duration
+	thawedAt  time.Duration
+	leader    leaderHint
+	elections electionLog
 	// peers are the nodes of this region by id, with the times at which each was last heard; addresses are where members of
 	// the log sent from.
 	peers     map[string]time.Duration
--- a/internal/controlplane/operator.go
+++ b/internal/controlplane/operator.go
@@ -5,7 +5,6 @@
 	"slices"
 	"time"
 
-	"topazshed/internal/constants"
 	"topazshed/internal/operations"
 	"topazshed/internal/raft"
 	"topazshed/internal/schema"
@@ -50,8 +49,8 @@
 
 func (h operatorHost) Leader() (address string, isReachable bool) {
 	c := h.machine
-	isOther := c.leader != "" && c.leader != c.self.Address
-	return c.leader, isOther && c.now-c.leaderAt <= constants.NodeLostAfter
+	isOther := c.leader.address != "" && c.leader.address != c.self.Address
+	return c.leader.address, isOther && c.leader.isRecent(c.now)
 }
 
 func (h operatorHost) ToleratedLosses() (count uint32, unresponsive []string) {
--- a/internal/controlplane/receive.go
+++ b/internal/controlplane/receive.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"topazshed/internal/constants"
 	"topazshed/internal/operations"
 	"topazshed/internal/protocolversion"
 	"topazshed/internal/raft"
@@ -85,7 +84,7 @@
 	if c.raft.LeaderID() != f.From {
 		return
 	}
-	c.leader, c.leaderAt = f.Address, c.now
+	c.leader.observe(f.Address, c.now)
 	if message.Kind == schema.RaftKind_RAFT_APPEND {
 		c.state.ObserveCommit(raft.Index(message.Commit))
 	}
@@ -113,19 +112,14 @@
 	}
 	c.peerSampler.Learn(response.Nodes...)
 	c.bootstrap.TakeAnswer(c.now, from, response)
-	if c.leader == "" {
-		c.leader = response.Leader
-	}
+	c.leader.adopt(response.Leader)
 }
 
 // receiveShuffle exchanges peers with another node, and takes its word for the system and the leader where this node knows none.
 func (c *Machine) receiveShuffle(from string, shuffle *schema.Shuffle) {
 	c.sendSampler(c.peerSampler.Shuffle(from, shuffle))
 	c.bootstrap.Adopt(shuffle.System)
-	isLeaderOld := c.now-c.leaderAt > constants.NodeLostAfter
-	if c.leader == "" || isLeaderOld && shuffle.Leader != "" {
-		c.leader = shuffle.Leader
-	}
+	c.leader.adoptIfOld(c.now, shuffle.Leader)
 }
 
 // receiveProbe tells a node that probes this one that it is alive.
--- a/internal/controlplane/replication.go
+++ b/internal/controlplane/replication.go
@@ -37,7 +37,7 @@
 	}
 	confirmation := replication.Confirmation{IsMember: true, Age: c.now - c.state.FreshAt()}
 	if c.options.Routes != nil {
-		confirmation.Leader = c.leader
+		confirmation.Leader = c.leader.address
 	}
 	return confirmation
 }
@@ -60,7 +60,7 @@
 func (c *Machine) perform(effects replication.Effects) {
 	c.sendAll(effects.Sends)
 	if effects.Leader != nil {
-		c.leader, c.leaderAt = effects.Leader.Address, effects.Leader.SeenAt
+		c.leader.observe(effects.Leader.Address, effects.Leader.SeenAt)
 	}
 	if effects.IsInstalled {
 		c.publish(effects.Changed)
