--- a/cmd/testfleet/soak.go
+++ b/cmd/testfleet/soak.go
@@ -137,7 +137,7 @@
 			return nil, err
 		}
 	}
-	if err := s.close(ctx); err != nil {
+	if err := s.loseAll(ctx); err != nil {
 		return nil, err
 	}
 	s.summarise(seed)
--- a/cmd/testfleet/soak_closing.go
+++ b/cmd/testfleet/soak_closing.go
@@ -19,9 +19,9 @@
 	maxKillDelay = 400 * time.Millisecond
 )
 
-// close kills every process while a change is on its way, empties as many disks as may be lost, starts all machines again, and checks that what was
+// loseAll kills every process while a change is on its way, empties as many disks as may be lost, starts all machines again, and checks that what was
 // acknowledged is read back and in force at every machine.
-func (s *soak) close(ctx context.Context) error {
+func (s *soak) loseAll(ctx context.Context) error {
 	changed := make(chan error, 1)
 	go func() { changed <- s.addRoute() }()
 	time.Sleep(time.Duration(s.random.Int63n(int64(maxKillDelay))))
--- a/cmd/testfleet/soak_storm.go
+++ b/cmd/testfleet/soak_storm.go
@@ -336,6 +336,8 @@
 func (s *soak) summarise(seed int64) {
 	s.run.lock.Lock()
 	defer s.run.lock.Unlock()
+	s.lock.Lock()
+	defer s.lock.Unlock()
 	changes, _ := s.routes.newest()
 	fmt.Printf("soak seed %d: zone %s, %d calls for it, %d changes, %d faults, requests %v, for added routes %v\n", seed, s.zone, s.calls, changes,
 		s.faults, s.run.ends, s.asked)
