replication: a reader probes members and is not sent twice what is on its way

A renewal named the version that the reader had, and the source sent again what was on its way.

Now a member that is tried is only probed: it tells how old its rows are, once and without rows; the first with confirmed ones is asked for them, and has 2.7 s, then twice and four times as long, to send them. A renewal asks for nothing that was sent.

--- a/internal/constants/replication.go
+++ b/internal/constants/replication.go
@@ -12,6 +12,11 @@
 	SubscriptionTTL = 2 * time.Second
 	// SourceTimeout is the time-out after which a subscriber turns to another source.
 	SourceTimeout = 900 * time.Millisecond
+	// TransferTimeout is how long the rows of a member may take that has just told that its own are confirmed: half a megabyte
+	// over the slowest links (2 Mbit/s).
+	TransferTimeout = 2700 * time.Millisecond
+	// MaxTransferDoublings is how often TransferTimeout is doubled while transfers don't come in time.
+	MaxTransferDoublings = 2
 	// SourceTryPause is how much longer a subscriber waits before each further source that it asks, so that a fleet without a
 	// majority does not overload the few machines that have the log.
 	SourceTryPause = 100 * time.Millisecond
--- a/internal/replication/publisher.go
+++ b/internal/replication/publisher.go
@@ -66,16 +66,17 @@
 	if !confirmation.IsMember || p.table.Version() == 0 {
 		return nil
 	}
+	if request.Probe {
+		return []frame.Envelope{deltaEnvelope(from, probeAnswer(confirmation, request.Serial))}
+	}
 	reader := p.subscribers[from]
-	if reader == nil {
-		reader = &subscriber{}
+	isRenewal := reader != nil && request.Renews && reader.sent >= raft.Index(request.Version)
+	if !isRenewal {
+		reader = &subscriber{prefixes: request.Prefixes, wanted: request.Wanted, sent: raft.Index(request.Version)}
 		p.subscribers[from] = reader
 	}
-	reader.prefixes = request.Prefixes
-	reader.wanted = request.Wanted
 	reader.serial = request.Serial
 	reader.renewedAt = now
-	reader.sent = raft.Index(request.Version)
 	return p.appendDelta(nil, now, confirmation, from, reader)
 }
 
@@ -117,6 +118,11 @@
 	return append(envelopes, deltaEnvelope(to, delta))
 }
 
+// probeAnswer tells how old the table is, and no rows.
+func probeAnswer(confirmation Confirmation, serial uint64) *schema.Delta {
+	return &schema.Delta{Serial: serial, AgeMs: schema.AgeMs(min(confirmation.Age, maxReportedAge)), Leader: confirmation.Leader, Probe: true}
+}
+
 func (p *Publisher) delta(confirmation Confirmation, reader *subscriber) *schema.Delta {
 	age := min(confirmation.Age, maxReportedAge)
 	delta := &schema.Delta{
--- a/internal/replication/request.go
+++ b/internal/replication/request.go
@@ -29,6 +29,28 @@
 	return envelopes
 }
 
+// renew asks the source to go on. What it has sent is not asked for again while it is on its way.
+func (s *Subscription) renew(now time.Duration) []frame.Envelope {
+	envelopes := s.subscribe(now)
+	for _, envelope := range envelopes {
+		if request := envelope.Frame.GetSubscribe(); request != nil {
+			request.Renews = len(request.Wanted) == 0 || s.source.isAwaited(now)
+		}
+	}
+	return envelopes
+}
+
+// try probes the member that was chosen. It is not asked for rows yet, since each member that is asked goes on sending them for a while, and together
+// they may be more than the reader's link carries.
+func (s *Subscription) try(now time.Duration) []frame.Envelope {
+	if !s.fleet.HasSystem() {
+		return nil
+	}
+	probe := s.newRequest(now, s.source.address)
+	probe.Frame.GetSubscribe().Probe = true
+	return []frame.Envelope{probe}
+}
+
 func (s *Subscription) newRequest(now time.Duration, to string) frame.Envelope {
 	request := &schema.Subscribe{Version: uint64(s.table.Version()), Serial: s.requests.Next()}
 	s.requests.Sent(now, to)
--- a/internal/replication/source.go
+++ b/internal/replication/source.go
@@ -14,6 +14,10 @@
 	chosenAt time.Duration
 	// confirmedAt is when it last sent rows that a majority had confirmed shortly before; 0 is never.
 	confirmedAt time.Duration
+	// awaitedAt is when it was asked for rows after it had answered a probe; 0 if no rows are awaited. lateTransfers counts those in a row
+	// that did not come in time.
+	awaitedAt     time.Duration
+	lateTransfers int
 	// failedAt is when each member was last found silent, or with rows that no majority had confirmed lately; askedAt is when it was
 	// last chosen.
 	failedAt map[string]time.Duration
@@ -26,7 +30,7 @@
 
 // isAlive tells whether the source may still be relied on.
 func (s *source) isAlive(now time.Duration) bool {
-	return s.address != "" && now-max(s.chosenAt, s.confirmedAt) <= constants.SourceTimeout
+	return s.isAwaited(now) || s.address != "" && now-max(s.chosenAt, s.confirmedAt) <= constants.SourceTimeout
 }
 
 // isConfirmed tells whether the source sent confirmed rows lately.
@@ -44,13 +48,39 @@
 	s.triedAt = now
 	s.askedAt[address] = now
 	s.confirmedAt = 0
+	s.awaitedAt = 0
 	s.tries++
 }
 
+// chooseAgain tries the same member once more, where there is no other; it tells false if there is none.
+func (s *source) chooseAgain(now time.Duration) bool {
+	if s.address == "" {
+		return false
+	}
+	s.choose(now, s.address)
+	return true
+}
+
+// await takes a member as the source that has answered a probe: its rows are confirmed, and on their way.
+func (s *source) await(now time.Duration, address string) {
+	s.address = address
+	s.chosenAt = now
+	s.confirmedAt = 0
+	s.awaitedAt = now
+}
+
+// isAwaited tells whether the source's rows are on their way. A transfer over a slow link that did not come in time gives the next one twice the time.
+func (s *source) isAwaited(now time.Duration) bool {
+	limit := constants.TransferTimeout << min(s.lateTransfers, constants.MaxTransferDoublings)
+	return s.awaitedAt > 0 && now-s.awaitedAt <= limit
+}
+
 // confirm notes that a member sends rows that a majority has confirmed, which makes it the source.
 func (s *source) confirm(now time.Duration, address string) {
 	s.address = address
 	s.confirmedAt = now
+	s.awaitedAt = 0
+	s.lateTransfers = 0
 	s.tries = 0
 	s.seekingSince = 0
 	delete(s.failedAt, address)
@@ -63,8 +93,12 @@
 		s.seekingSince = now
 	}
 	if address == s.address {
+		if s.awaitedAt > 0 {
+			s.lateTransfers++
+		}
 		s.chosenAt = 0
 		s.confirmedAt = 0
+		s.awaitedAt = 0
 	}
 }
 
@@ -72,9 +106,10 @@
 func (s *source) isUnresponsive() bool { return s.address != "" && s.chosenAt > 0 }
 
 // isDue tells whether another member must be asked: the source can't be relied on, or one is being sought. While one is sought, no
-// member is waited for: the first that answers with confirmed rows becomes the source.
+// member is waited for: the first that has confirmed rows becomes the source.
 func (s *source) isDue(now time.Duration) bool {
-	return (!s.isAlive(now) || s.isSeeking()) && s.isTryDue(now)
+	isNeeded := !s.isAlive(now) || s.isSeeking() && !s.isAwaited(now)
+	return isNeeded && s.isTryDue(now)
 }
 
 // isTryDue bounds how often members are asked in turn while all of them are silent or have old rows.
--- a/internal/replication/subscription.go
+++ b/internal/replication/subscription.go
@@ -154,14 +154,14 @@
 	if !s.source.isAlive(now) && s.source.isUnresponsive() {
 		s.failSource(now, s.source.address, "it is unresponsive")
 	}
-	if s.source.isDue(now) && s.chooseSource(now) {
-		return s.subscribe(now)
+	if s.source.isDue(now) && (s.chooseSource(now) || s.source.chooseAgain(now)) {
+		return s.try(now)
 	}
-	if now-s.renewedAt < s.options.RenewEvery {
+	isServed := s.source.isConfirmed(now) || s.source.isAwaited(now)
+	if !isServed || now-s.renewedAt < s.options.RenewEvery {
 		return nil
 	}
-	envelopes := s.subscribe(now)
-	return append(envelopes, s.askAtHome(now)...)
+	return append(s.renew(now), s.askAtHome(now)...)
 }
 
 // DropUnwanted lets go of the services that nobody asked for lately.
@@ -187,6 +187,9 @@
 	if !isKnown {
 		return Effects{}
 	}
+	if delta.Probe {
+		return s.takeProbeAnswer(now, from, delta)
+	}
 	age := time.Duration(delta.AgeMs) * time.Millisecond
 	isConfirmed := age < s.options.ConfirmedWithin
 	if !s.mayTake(now, from, isConfirmed) {
@@ -214,11 +217,27 @@
 	return effects
 }
 
+// takeProbeAnswer asks a member for rows whose own are confirmed, unless others are on their way. A reader without rows takes any.
+func (s *Subscription) takeProbeAnswer(now time.Duration, from string, answer *schema.Delta) Effects {
+	age := time.Duration(answer.AgeMs) * time.Millisecond
+	if age >= s.options.ConfirmedWithin && s.table.Version() > 0 {
+		s.failSource(now, from, "its rows are not confirmed")
+		return Effects{}
+	}
+	if s.source.isAwaited(now) || s.source.isConfirmed(now) {
+		return Effects{}
+	}
+	s.source.await(now, from)
+	return Effects{Sends: s.subscribe(now)}
+}
+
 // confirmSource notes that a member sends confirmed rows, and logs it if a source was sought.
 func (s *Subscription) confirmSource(now time.Duration, from string) {
 	if s.source.isSeeking() {
 		s.options.Log.Info("a source of rows is found", "source", from,
 			"soughtMilliseconds", (now - s.source.seekingSince).Milliseconds(), "tries", s.source.tries)
+		// The rows may have been on their way for long; the next ones count from a newer request.
+		s.renewedAt = 0
 	}
 	s.source.confirm(now, from)
 }
