--- a/internal/node/routed_test.go
+++ b/internal/node/routed_test.go
@@ -153,14 +153,23 @@
 	return response
 }
 
+// handedOut are the addresses that free has given: the system may give a port again as soon as its listener is closed.
+var handedOut sync.Map
+
+// free gives an address that nobody listens on and that was not given before.
 func free(t *testing.T, ip string) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", ip+":0")
-	if err != nil {
-		t.Fatal(err)
+	for {
+		listener, err := net.Listen("tcp", ip+":0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		address := listener.Addr().String()
+		listener.Close()
+		if _, isGiven := handedOut.LoadOrStore(address, true); !isGiven {
+			return address
+		}
 	}
-	defer listener.Close()
-	return listener.Addr().String()
 }
 
 func (p *platformSide) start(t *testing.T, s *settings.Settings) *machine {
