--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -18,7 +18,7 @@
 		fmt.Fprintln(os.Stderr, "usage: standin CASE RECORD")
 		os.Exit(2)
 	}
-	play := map[string]func(*fleet, bool) error{"surplus": playSurplus, "cold": playCold, "founding": playFounding}[os.Args[1]]
+	play := map[string]func(*fleet, bool) error{"surplus": playSurplus, "cold": playCold, "founding": playFounding, "descriptors": playDescriptors}[os.Args[1]]
 	if play == nil {
 		fmt.Fprintln(os.Stderr, "no such case")
 		os.Exit(2)
