--- a/review/standin/backend.go
+++ b/review/standin/backend.go
@@ -290,7 +290,7 @@
 	}
 	work := b.work()
 	b.lock.Unlock()
-	b.fleet.noteRun(b, attempt)
+	b.fleet.note("run %s by %s %s", attempt, b.id, request.Header.Get("Shard-Key"))
 	time.Sleep(min(work, time.Until(deadline)))
 	b.lock.Lock()
 	b.working--
--- a/review/standin/descriptors.go
+++ b/review/standin/descriptors.go
@@ -31,6 +31,10 @@
 // playDescriptors: each request comes from a user of its own, whose connection stays open and idle after the answer, as long as the configuration
 // allows; then all processes of the core are killed at the same moment. Without trouble the users close their connections.
 func playDescriptors(f *fleet, hasTrouble bool) error {
+	var own syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &own); err != nil || own.Max < 3*maxFDs {
+		return fmt.Errorf("this process may have %d descriptors (%v); the users need %d", own.Max, err, 3*maxFDs)
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	for i := range 13 {
@@ -124,8 +128,11 @@
 	if len(known) == 0 {
 		return
 	}
-	conn, answer := request(known[rand.IntN(len(known))], k, where.fleet.random())
+	address, id := known[rand.IntN(len(known))], where.fleet.random()
+	where.fleet.note("sent %016x %s to %s", id, k.name, address)
+	conn, answer := request(address, k, id)
 	what := answer.what()
+	where.fleet.note("answered %016x %s", id, what)
 	where.fleet.lock.Lock()
 	where.fleet.answers[k.name+" "+what]++
 	where.fleet.lock.Unlock()
--- a/review/standin/fleet.go
+++ b/review/standin/fleet.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bufio"
 	"bytes"
 	"encoding/json"
 	"fmt"
@@ -53,23 +54,23 @@
 
 // fleet is a small deployment with its stand-ins.
 type fleet struct {
-	net      int
-	dir      string
-	program  string
-	record   *os.File
-	begun    time.Time
-	machines []*machine
-	stopped  chan struct{}
+	net     int
+	dir     string
+	program string
+	record  *bufio.Writer
+	// recordLock guards record.
+	recordLock sync.Mutex
+	begun      time.Time
+	machines   []*machine
+	stopped    chan struct{}
 
 	lock       sync.Mutex
 	list       []*listed
 	calls      []time.Time
 	draw       *rand.Rand
-	runs       map[string]int
 	sentAt     map[string]time.Time
 	violations []string
 	answers    map[string]int
-	lost       int
 }
 
 func newFleet(record string) (*fleet, error) {
@@ -81,8 +82,8 @@
 	if err != nil {
 		return nil, err
 	}
-	f := &fleet{dir: dir, program: "target/topazshed", record: file, begun: time.Now(), stopped: make(chan struct{}),
-		draw: rand.New(rand.NewPCG(uint64(time.Now().UnixNano()), 1)), runs: map[string]int{}, sentAt: map[string]time.Time{}, answers: map[string]int{}}
+	f := &fleet{dir: dir, program: "target/topazshed", record: bufio.NewWriter(file), begun: time.Now(), stopped: make(chan struct{}),
+		draw: rand.New(rand.NewPCG(uint64(time.Now().UnixNano()), 1)), sentAt: map[string]time.Time{}, answers: map[string]int{}}
 	for f.net = 20 + rand.IntN(200); ; f.net = 20 + rand.IntN(200) {
 		probe, err := net.Listen("tcp", f.ip(1)+":"+strconv.Itoa(frontPort))
 		if err == nil {
@@ -104,9 +105,18 @@
 // note writes a line to the record.
 func (f *fleet) note(format string, arguments ...any) {
 	line := fmt.Sprintf(format, arguments...)
+	f.recordLock.Lock()
+	defer f.recordLock.Unlock()
 	fmt.Fprintf(f.record, "%9.3f %s\n", time.Since(f.begun).Seconds(), line)
 }
 
+// flush writes out what is noted.
+func (f *fleet) flush() {
+	f.recordLock.Lock()
+	defer f.recordLock.Unlock()
+	f.record.Flush()
+}
+
 func (f *fleet) violation(format string, arguments ...any) {
 	line := fmt.Sprintf(format, arguments...)
 	f.note("BROKEN %s", line)
@@ -382,12 +392,6 @@
 	}
 }
 
-func (f *fleet) noteRun(b *backend, attempt string) {
-	f.lock.Lock()
-	defer f.lock.Unlock()
-	f.runs[attempt]++
-}
-
 // summary writes what clients saw.
 func (f *fleet) summary() {
 	f.lock.Lock()
--- a/review/standin/load.go
+++ b/review/standin/load.go
@@ -129,6 +129,7 @@
 	c.fleet.lock.Lock()
 	c.fleet.sentAt[id] = time.Now()
 	c.fleet.lock.Unlock()
+	c.fleet.note("sent %s %s to %s", id, k.name, request.URL.Host)
 	response, err := c.client.Do(request)
 	what := "no answer"
 	if err == nil {
@@ -140,6 +141,7 @@
 			retryAfter = time.Duration(seconds * float64(time.Second))
 		}
 	}
+	c.fleet.note("answered %s %s", id, what)
 	c.fleet.lock.Lock()
 	c.fleet.answers[k.name+" "+what]++
 	c.fleet.lock.Unlock()
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -37,10 +37,12 @@
 	go func() {
 		<-signals
 		f.stop()
+		f.flush()
 		os.Exit(2)
 	}()
 	err = play(f, hasTrouble)
 	f.stop()
+	defer f.flush()
 	if err != nil {
 		f.note("could not run: %v", err)
 		fmt.Fprintln(os.Stderr, err)
