bootstrap: a node without a system logs for whom it waits

Now each names, every two seconds, the seeds that are silent, those that have no system, whether it may found one, and whether its settings say that one exists.

--- a/internal/bootstrap/bootstrap.go
+++ b/internal/bootstrap/bootstrap.go
@@ -82,6 +82,9 @@
 	// lowest seed, first knew that it must name one.
 	founder         string
 	nominatingSince time.Duration
+	// startedAt is when this machine first looked for a system, waitLoggedAt when it was last logged that there is none.
+	startedAt    time.Duration
+	waitLoggedAt time.Duration
 }
 
 // New makes a Machine that has the system of its options and has asked nobody yet.
@@ -110,6 +113,7 @@
 		return nil
 	}
 	m.askedAt = now
+	m.logWait(now)
 	var envelopes []frame.Envelope
 	for _, address := range m.nodesToAsk() {
 		envelopes = append(envelopes, m.discoverRequest(address))
