Initial voters: the seeds with a disk found the system together

Callers saw: the system never starts. Where the lowest seed was killed or lost its disk within a second of the first start, and was back with first-start false, no configuration was ever taken and all machines answered 503 for good.

Cause: founding hung on one process. The lowest seed alone founded, only after it had heard all others, never with first-start false, and nothing on its disk told that it was to found. Class: one node's life decides whether the system lives, before any majority exists.

Change: where the settings tell of the first start (the users' platform), the initial voters follow from the seeds: those with a disk, with identities made of the seeds' addresses. Each seed records its part on its disk before it speaks to anyone, and goes on from that whatever its settings say later. Once it has heard of each seed whether it has a disk, it begins its log with the same first entry as the others, committed by that; a majority elects. A disk that is empty with first-start false never founds. A voter whose disk is empty although its system runs without it takes no part (wrong settings). Beside a seed of an earlier version the lowest seed founds alone, as it does in fleets with settings of their own, which know no first start.

The tests of the control plane play every other seed with initial voters.

--- a/internal/bootstrap/bootstrap.go
+++ b/internal/bootstrap/bootstrap.go
@@ -6,9 +6,11 @@
 //
 // Invariants:
 //   - A node that has a system never changes it.
-//   - At most one node founds: the lowest seed that has a disk or, if no seed has one, the node that the lowest seed names, once and for all.
-//   - It founds only after every other seed has said for constants.FoundingWait that it has no system either, and never if it was a member of a
-//     log before or its operator says that the system exists.
+//   - Where the settings tell of the first start, the seeds with a disk are the initial voters together: each recorded that on its disk before
+//     it spoke to anyone, and goes on from there whatever its settings say later. A majority of them elects and commits.
+//   - Elsewhere, and where no seed has a disk, at most one node founds: the lowest seed that has a disk or, if no seed has one, the node that the
+//     lowest seed names, once and for all. It founds only after every other seed has said for constants.FoundingWait that it has no system
+//     either, and never if it was a member of a log before or its operator says that the system exists.
 package bootstrap
 
 import (
@@ -47,6 +49,11 @@
 	System string
 	// IsRejoin says that the operator knows the system to exist, so that this node never founds one.
 	IsRejoin bool
+	// TellsFirstStart says that the settings of every node tell whether this is the first start of the whole system. Otherwise the
+	// lowest seed bootstraps the system alone.
+	TellsFirstStart bool
+	// InitialCluster is this node's recorded part in the first start; nil is none.
+	InitialCluster *InitialCluster
 	// WasMember says that this node's journal holds its part in a log, so that it never founds another.
 	WasMember bool
 	// IsRestart says that the journal held the state of an earlier incarnation.
@@ -76,6 +83,14 @@
 	askedAt time.Duration
 	turn    int
 	answers map[string]answer
+	// seats are what the seeds said about themselves, by address.
+	seats map[string]seat
+	// isCountedOn says that another seed may have been told that this node is an initial voter, isReplaced that this node bears the
+	// identity of an initial voter whose disk is lost.
+	isCountedOn bool
+	isReplaced  bool
+	// hasFounded says that this node has given the first record of the log.
+	hasFounded bool
 	// emptySince is since when all other seeds have said that they have no system; 0 is not now.
 	emptySince time.Duration
 	// founder is the address of the node that the lowest seed named because no seed has a disk; nominatingSince is when this node, being the
@@ -89,7 +104,11 @@
 
 // New makes a Machine that has the system of its options and has asked nobody yet.
 func New(options Options, peers Peers, fleet Fleet) *Machine {
-	return &Machine{options: options, peers: peers, fleet: fleet, system: options.System, answers: map[string]answer{}}
+	m := &Machine{options: options, peers: peers, fleet: fleet, system: options.System, answers: map[string]answer{}, seats: map[string]seat{}}
+	if initial := options.InitialCluster; initial != nil {
+		m.isCountedOn = initial.IsFromEarlierProcess
+	}
+	return m
 }
 
 // System is the name of the system that this node belongs to; "" is none yet.
@@ -100,16 +119,20 @@
 
 // Adopt joins a system that another node belongs to, unless this node has one.
 func (m *Machine) Adopt(system string) {
-	if system == "" || m.system != "" {
+	if system == "" || m.system != "" || !m.mayAdopt(system) {
 		return
 	}
+	m.join(system)
+}
+
+func (m *Machine) join(system string) {
 	m.system = system
 	m.options.Log.Info("system adopted", "system", system)
 }
 
-// Ask asks for a system while this node has none.
+// Ask asks for a system while this node has none, or lacks the first record of its log.
 func (m *Machine) Ask(now time.Duration) []frame.Envelope {
-	if m.system != "" || !m.isAskingDue(now) {
+	if !m.isSeeking() || !m.isAskingDue(now) {
 		return nil
 	}
 	m.askedAt = now
@@ -136,18 +159,22 @@
 
 // Answer tells a node that asks which system this node belongs to and which nodes it should know.
 func (m *Machine) Answer(now time.Duration, request *schema.DiscoverRequest) *schema.DiscoverResponse {
+	m.noteAsked(request.GetNode().GetAddress())
 	return &schema.DiscoverResponse{
 		System:   m.system,
 		Nodes:    m.introductions(request.GetNode().GetRegion()),
 		Founding: m.options.IsRestart,
 		Disk:     m.options.Self.Disk,
 		Founder:  m.nominate(now),
+
+		InitialMembership: m.initialMembership(),
 	}
 }
 
 // TakeAnswer notes what an asked node said, and joins its system if this node has none.
 func (m *Machine) TakeAnswer(now time.Duration, from string, response *schema.DiscoverResponse) {
 	m.answers[from] = answer{at: now, hasSystem: response.System != "", hasDisk: response.Disk}
+	m.noteSeat(from, response)
 	if m.options.MixedSeeds && response.Founder != "" && from == slices.Min(m.options.Seeds) {
 		m.founder = response.Founder
 	}
@@ -167,6 +194,9 @@
 // another if nothing can have been founded before, and all of them if something was. Each asks one more node that it knows.
 func (m *Machine) nodesToAsk() []string {
 	seeds := m.options.Seeds
+	if m.options.InitialCluster != nil {
+		seeds = slices.Compact(slices.Sorted(slices.Values(slices.Concat(seeds, m.options.InitialCluster.Seeds))))
+	}
 	isSeed := slices.Contains(seeds, m.options.Self.Address)
 	if !m.options.Self.Disk && !m.options.IsRejoin && !isSeed {
 		m.turn++
--- a/internal/bootstrap/founding.go
+++ b/internal/bootstrap/founding.go
@@ -16,20 +16,35 @@
 	systemNumbers = 1 << 32
 )
 
-// Found names a new system if it falls to this node to found one now, and gives the first record of its log, by which this node is the only
-// voter; otherwise it gives nil. The owner calls it for a node whose log is there and empty, and must send what Ask gave before, since the
-// frames sent from now on bear the new name.
+// Found names a new system if it falls to this node to found one now, alone or with the other initial voters, and gives the first record of
+// its log, which names the voters; otherwise it gives nil. The owner calls it for a node whose log is there and empty, and must send what Ask
+// gave before, since the frames sent from now on bear the new name.
 func (m *Machine) Found(now time.Duration) *schema.Record {
-	if m.system != "" || !m.mayFound(now) {
+	if !m.isSeeking() {
+		return nil
+	}
+	if m.options.InitialCluster != nil {
+		return m.foundTogether(now)
+	}
+	return m.foundAlone(now)
+}
+
+// foundAlone names a new system with this node as its only voter, if that falls to it now.
+func (m *Machine) foundAlone(now time.Duration) *schema.Record {
+	if !m.mayFound(now) {
 		return nil
 	}
 	self := m.options.Self
 	m.system = fmt.Sprintf("%s-%08x", self.Id, m.options.Draw(systemNumbers))
 	m.options.Log.Info("system founded", "system", m.system)
-	voter := &schema.Member{Id: self.Id, Address: self.Address, Zone: self.Zone}
+	return membersRecord([]*schema.Member{{Id: self.Id, Address: self.Address, Zone: self.Zone}})
+}
+
+// membersRecord is the first record of a log.
+func membersRecord(voters []*schema.Member) *schema.Record {
 	return &schema.Record{
 		Kind:    schema.RecordKind_RECORD_MEMBERS,
-		Members: &schema.Members{Voters: []*schema.Member{voter}},
+		Members: &schema.Members{Voters: voters},
 		Reason:  "founding",
 	}
 }
--- a/internal/bootstrap/wait_log.go
+++ b/internal/bootstrap/wait_log.go
@@ -19,7 +19,7 @@
 	m.waitLoggedAt = now
 	silent, without := m.seedsWithoutSystem(now)
 	m.options.Log.Warn("this node belongs to no system yet", "milliseconds", (now - m.startedAt).Milliseconds(),
-		"silent_seeds", silent, "seeds_without_system", without, "may_found", m.isFounder(), "rejoins", m.options.IsRejoin)
+		"silent_seeds", silent, "seeds_without_system", without, "may_found", m.isFounder() || m.options.InitialCluster != nil, "rejoins", m.options.IsRejoin)
 }
 
 // seedsWithoutSystem gives the other seeds that have not answered lately, and those that said that they have no system.
--- a/internal/controlplane/bootstrap.go
+++ b/internal/controlplane/bootstrap.go
@@ -17,16 +17,23 @@
 		WasMember:  c.options.Restart && c.options.HardState.GetId() != "",
 		IsRestart:  c.options.Restart,
 		MixedSeeds: c.options.Routes != nil,
-		Draw:       c.options.Draw,
-		Log:        c.log,
+
+		TellsFirstStart: c.options.TellsFirstStart,
+		InitialCluster:  c.options.InitialCluster,
+		Draw:            c.options.Draw,
+		Log:             c.log,
 	}
 	return bootstrap.New(options, c.peerSampler, fleetView{c})
 }
 
-// findSystem asks for a system to join, and founds one if that falls to this node.
+// findSystem asks for a system to join, and founds one if that falls to this node; a node whose log has begun does neither.
 func (c *Machine) findSystem() {
+	hasLog := c.raft != nil && c.raft.LastIndex() > 0
+	if hasLog {
+		return
+	}
 	c.sendAll(c.bootstrap.Ask(c.now))
-	if c.raft == nil || c.raft.LastIndex() > 0 {
+	if c.raft == nil {
 		return
 	}
 	if record := c.bootstrap.Found(c.now); record != nil {
--- a/internal/controlplane/options.go
+++ b/internal/controlplane/options.go
@@ -4,6 +4,7 @@
 	"log/slog"
 	"time"
 
+	"topazshed/internal/bootstrap"
 	"topazshed/internal/protocolversion"
 	"topazshed/internal/schema"
 )
@@ -26,6 +27,10 @@
 	Restart bool
 	// Rejoin says that the system was founded before, so that this node never founds one.
 	Rejoin bool
+	// TellsFirstStart says that the settings of every node tell whether this is the first start of the whole system.
+	TellsFirstStart bool
+	// InitialCluster is this node's recorded part in that first start; nil is none.
+	InitialCluster *bootstrap.InitialCluster
 	// Routes is set in a fleet of routes, and nil in a fleet of entries. Routes never send an attempt id twice, so that they
 	// need neither reservations nor fences.
 	Routes *RouteOptions
--- a/internal/controlplane/receive.go
+++ b/internal/controlplane/receive.go
@@ -73,6 +73,7 @@
 	if c.raft == nil || c.bootstrap.System() != "" && f.System == "" {
 		return
 	}
+	c.bootstrap.TakePart(f.System)
 	if isFromLeader(message.Kind) {
 		c.bootstrap.Adopt(f.System)
 	}
--- a/internal/controlplane/tick.go
+++ b/internal/controlplane/tick.go
@@ -20,6 +20,7 @@
 		return
 	}
 	if c.raft != nil {
+		c.findSystem()
 		c.raft.Tick(now)
 		c.lead()
 		c.refresh()
--- a/internal/controlplane/world_test.go
+++ b/internal/controlplane/world_test.go
@@ -7,12 +7,14 @@
 	"io"
 	"log/slog"
 	"math/rand"
+	"slices"
 	"sort"
 	"testing"
 	"time"
 
 	"google.golang.org/protobuf/proto"
 
+	"topazshed/internal/bootstrap"
 	"topazshed/internal/constants"
 	"topazshed/internal/controlplane"
 	"topazshed/internal/journal"
@@ -45,6 +47,8 @@
 	digests     map[uint64]string
 	leaders     map[uint64]string
 	log         *slog.Logger
+	// tellsFirstStart has machines told whether this is the first start of the whole system, as the users' platform does.
+	tellsFirstStart bool
 	// acks are the changes that operators were told to be accepted, oldest first.
 	acks []acknowledgement
 }
@@ -73,6 +77,8 @@
 	answers     map[operations.Ticket]func(*schema.OperatorResponse)
 	ticket      operations.Ticket
 	isFounded   bool
+	// initial is the part in the first start that the disk recorded.
+	initial *bootstrap.InitialCluster
 }
 
 type event struct {
@@ -112,13 +118,8 @@
 }
 
 func newSizedWorld(t *testing.T, seed int64, voters, readers int, sizes journal.Options) *world {
-	w := &world{t: t, random: rand.New(rand.NewSource(seed)), now: time.Hour, cuts: map[[2]string]bool{}, arrived: map[[2]string]time.Duration{}, digests: map[uint64]string{}, leaders: map[uint64]string{}, sizes: sizes,
-		log: slog.New(slog.NewTextHandler(io.Discard, nil))}
-	for i := range voters + readers {
-		place := i % 6
-		m := &machine{w: w, name: fmt.Sprintf("m%02d", i), region: fmt.Sprint("r", place%3), zone: fmt.Sprint("z", place), isDisk: i < voters, disk: sim.NewDisk(), answers: map[operations.Ticket]func(*schema.OperatorResponse){}}
-		w.machines = append(w.machines, m)
-	}
+	w := newStoppedWorld(t, seed, voters, readers, sizes)
+	w.tellsFirstStart = seed%2 == 1
 	for _, m := range w.machines {
 		w.after(time.Duration(w.random.Intn(300))*time.Millisecond, m.start)
 	}
@@ -130,6 +131,18 @@
 	return w
 }
 
+// newStoppedWorld makes the machines and starts none.
+func newStoppedWorld(t *testing.T, seed int64, voters, readers int, sizes journal.Options) *world {
+	w := &world{t: t, random: rand.New(rand.NewSource(seed)), now: time.Hour, cuts: map[[2]string]bool{}, arrived: map[[2]string]time.Duration{}, digests: map[uint64]string{}, leaders: map[uint64]string{}, sizes: sizes,
+		log: slog.New(slog.NewTextHandler(io.Discard, nil))}
+	for i := range voters + readers {
+		place := i % 6
+		m := &machine{w: w, name: fmt.Sprintf("m%02d", i), region: fmt.Sprint("r", place%3), zone: fmt.Sprint("z", place), isDisk: i < voters, disk: sim.NewDisk(), answers: map[operations.Ticket]func(*schema.OperatorResponse){}}
+		w.machines = append(w.machines, m)
+	}
+	return w
+}
+
 func (w *world) after(d time.Duration, do func()) {
 	w.serial++
 	heap.Push(&w.events, event{w.now + d, w.serial, do})
@@ -203,6 +216,10 @@
 		Incarnation: uint64(w.now.Milliseconds()), State: schema.NodeState_NODE_READY}
 	options := controlplane.Options{Self: self, Seeds: w.seeds(), Draw: w.random.Int63n, Log: w.log.With("machine", m.name), Rejoin: m.isFounded,
 		Routes: &controlplane.RouteOptions{LongestLease: 10 * time.Second, Zones: w.zones(), RecoveryBound: 4 * time.Second, Fits: w.sizes.Fits, FitsSnapshot: w.sizes.FitsSnapshot, ColdRate: func(*schema.ServicePolicy) int { return 1 }}}
+	if m.recordInitialCluster(); m.initial != nil {
+		self.Id = bootstrap.InitialMemberID(m.initial.Seeds, m.name)
+	}
+	options.TellsFirstStart, options.InitialCluster = w.tellsFirstStart, m.initial
 	m.isFounded = true
 	m.isUp, m.writing, m.frozenUntil = true, nil, 0
 	var opened *journal.Journal
@@ -233,6 +250,16 @@
 	m.tick()
 }
 
+// recordInitialCluster does what a process does before it speaks to anyone.
+func (m *machine) recordInitialCluster() {
+	switch {
+	case m.initial != nil:
+		m.initial = &bootstrap.InitialCluster{Seeds: m.initial.Seeds, IsFromEarlierProcess: true}
+	case m.w.tellsFirstStart && m.isDisk && !m.isFounded && slices.Contains(m.w.seeds(), m.name):
+		m.initial = &bootstrap.InitialCluster{Seeds: m.w.seeds()}
+	}
+}
+
 func (w *world) zones() map[string]string {
 	zones := map[string]string{}
 	for _, m := range w.machines {
@@ -384,7 +411,7 @@
 }
 
 // wipe gives a stopped machine an empty disk.
-func (m *machine) wipe() { m.disk = sim.NewDisk() }
+func (m *machine) wipe() { m.disk, m.initial = sim.NewDisk(), nil }
 
 func (w *world) cut(from, to *machine, isCut bool) {
 	w.cuts[[2]string{from.name, to.name}] = isCut
--- a/internal/journal/folder.go
+++ b/internal/journal/folder.go
@@ -73,6 +73,11 @@
 	if err := file.Sync(); err != nil {
 		return fmt.Errorf("sync %s: %w", path, err)
 	}
+	return f.syncFolder()
+}
+
+// syncFolder returns after the names of the folder's files are on disk.
+func (f *Folder) syncFolder() error {
 	folder, err := os.Open(f.Path)
 	if err != nil {
 		return err
@@ -85,6 +90,9 @@
 
 // Wipe removes all areas, so that the machine rejoins as a new member. Areas that are open must not be used any more.
 func (f *Folder) Wipe() error {
+	if err := f.forgetInitialCluster(); err != nil {
+		return err
+	}
 	paths, err := filepath.Glob(filepath.Join(f.Path, areaPattern))
 	if err != nil {
 		return err
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -102,7 +102,7 @@
 	n.disk.Store(&adminapi.Disk{Folder: n.settings.Data})
 	n.transport = newTransport(n)
 	n.service = newService(n, options.Platform)
-	if err := n.start(options.OpenFolder); err != nil {
+	if err := n.start(options.OpenFolder, options.Platform); err != nil {
 		n.cancel()
 		return nil, errors.Join(err, n.Close())
 	}
@@ -122,7 +122,7 @@
 // Now is the process's own monotonic clock. It starts at an hour, so that no zero time is recent.
 func (n *Node) Now() time.Duration { return time.Since(n.begun) + clockStart }
 
-func (n *Node) start(openFolder func(path string) (Folder, error)) error {
+func (n *Node) start(openFolder func(path string) (Folder, error), platform *Platform) error {
 	n.self = newSelf(n.settings)
 	options := controlplane.Options{
 		Self:   n.self,
@@ -132,17 +132,13 @@
 		Rejoin: n.settings.Rejoin,
 		Epoch:  n.begun.Add(-clockStart),
 		Routes: n.service.routed(),
+
+		TellsFirstStart: platform != nil && platform.TellsFirstStart,
 	}
 	if n.self.Disk {
-		state, err := n.openJournal(openFolder)
-		if err != nil {
+		if err := n.openDisk(openFolder, &options); err != nil {
 			return err
 		}
-		options.HardState, options.Snapshot, options.Entries = state.HardState, state.Snapshot, state.Entries
-		options.System, options.Restart = state.HardState.System, state.HardState.Id != ""
-		if options.Restart {
-			n.self.Id = state.HardState.Id
-		}
 	}
 	n.log = n.log.With("node", n.self.Id)
 	n.machine = controlplane.New(n.Now(), options)
--- a/internal/node/platform.go
+++ b/internal/node/platform.go
@@ -38,6 +38,8 @@
 	Bounds Bounds
 	// Zones are the deployment's, each with its region, also those without a machine.
 	Zones map[string]string
+	// TellsFirstStart says that the settings of every machine tell whether this is the first start of the whole system.
+	TellsFirstStart bool
 	// List reads the platform's whole list once and tells how many calls it took. It waits for its turn before each call;
 	// an error of the turn ends the read. nil where this node can't reach the list.
 	List func(ctx context.Context, turn Turn) ([]discovery.Listed, int, error)
--- a/internal/raft/node.go
+++ b/internal/raft/node.go
@@ -9,6 +9,9 @@
 	"topazshed/internal/schema"
 )
 
+// initialTerm is the term of the first entry of a log.
+const initialTerm Term = 1
+
 // Options restore a member from what its disk held, or make a new one with an empty log.
 type Options struct {
 	// ID names this member among the system's members.
@@ -115,12 +118,20 @@
 	return n
 }
 
-// Bootstrap makes this member the leader of a new system with the membership of a record as the first entry of its log.
+// Bootstrap begins the log of a new system with the membership of a record as its first entry. A sole voter leads at once. Where there
+// are several, each of them begins with this very entry, which is committed by that, and they elect a leader.
 func (n *Node) Bootstrap(now time.Duration, record *schema.Record) {
 	n.now = now
-	n.term, n.vote = 1, n.id
-	n.log.propose(n.term, record)
-	n.become(Leader)
+	n.term = max(n.term, initialTerm)
+	n.log.propose(initialTerm, record)
+	if len(record.Members.Voters) == 1 {
+		n.vote = n.id
+		n.become(Leader)
+		return
+	}
+	n.log.commitTo(n.log.lastIndex())
+	n.become(Follower)
+	n.electionAt -= n.timing.ElectionTimeout * 3 / 4
 }
 
 // Role returns what this member does in its term.
