A start waits for what a former process of its machine still holds

Callers saw: processes that end by themselves. A process that was started while a former one of its machine drained ended at once with 1: the data folder is in use, or the address is. A supervisor that starts it again at once sees it end again and again.

Cause: lock, addresses and preallocation were tried once at the start, while a full disk is waited for at run time. Class: what passes by itself is taken for final at the start.

Change: a folder in use, an address in use and a full disk are retried for constants.StartWait, with a log line that says for what; an address of another machine, or a fault of the settings, still ends the process at once, and SIGTERM ends the wait. Preallocation goes on after a signal has interrupted it. A folder opens each area once, so that retries keep no descriptors.

--- a/cmd/testfleet/machine.go
+++ b/cmd/testfleet/machine.go
@@ -48,7 +48,7 @@
 		folder, err := journal.OpenFolder(path)
 		return &faultyFolder{folder, c.faults}, err
 	}
-	n, err := node.Start(node.Options{Settings: nodeSettings, Log: log, OpenFolder: openFolder})
+	n, err := node.Start(ctx, node.Options{Settings: nodeSettings, Log: log, OpenFolder: openFolder})
 	if err == nil {
 		err = n.Wait(ctx)
 	}
--- a/cmd/topazshed/run_node.go
+++ b/cmd/topazshed/run_node.go
@@ -25,7 +25,7 @@
 	hangups := make(chan os.Signal, 1)
 	signal.Notify(hangups, syscall.SIGHUP)
 	defer signal.Stop(hangups)
-	n, err := node.Start(options)
+	n, err := node.Start(ctx, options)
 	if err != nil {
 		options.Log.Error("did not start", "reason", err.Error())
 		return subcommands.ExitFailure
--- a/internal/constants/process.go
+++ b/internal/constants/process.go
@@ -11,6 +11,12 @@
 	MaxStop = StopLinger + MaxWait
 	// DrainShare (fraction) of the grace period of a stop in which requests in flight may still end.
 	DrainShare = 0.9
+	// StartWait is how long a starting process waits for what a former one of its machine still holds: longer than a planned stop.
+	StartWait = 30 * time.Second
+	// StartRetry is the time between two tries meanwhile.
+	StartRetry = 50 * time.Millisecond
+	// SettingsWait is how long a starting process waits for a settings file that is missing or not whole: it may be being written.
+	SettingsWait = 2 * time.Second
 	// SettingsEvery is how often a node on the users' platform looks whether its settings file has changed.
 	SettingsEvery = 2 * time.Second
 	// GarbagePercent (percent) of the live heap may be garbage before it is collected: memory at its peak costs more than a
--- a/internal/journal/errors.go
+++ b/internal/journal/errors.go
@@ -16,6 +16,17 @@
 		e.File, e.Offset)
 }
 
+// InUseError says that another process has a data folder open.
+type InUseError struct {
+	// Path is the folder's.
+	Path string
+}
+
+// Error says what to do.
+func (e *InUseError) Error() string {
+	return fmt.Sprintf("data folder %s is in use by another process; stop it or name another folder", e.Path)
+}
+
 // RingFullError says that every segment holds entries that no snapshot covers. Write a snapshot, then append again.
 type RingFullError struct{}
 
--- a/internal/journal/folder.go
+++ b/internal/journal/folder.go
@@ -24,11 +24,12 @@
 type Folder struct {
 	// Path is the folder's path.
 	Path string
-	// files are the lock and the open areas.
-	files []*os.File
+	lock *os.File
+	// areas are the open areas by name.
+	areas map[string]*os.File
 }
 
-// OpenFolder makes the folder where it doesn't exist, and locks it. It fails where another process has it open.
+// OpenFolder makes the folder where it doesn't exist, and locks it. It fails with an InUseError where another process has it open.
 func OpenFolder(path string) (*Folder, error) {
 	if err := os.MkdirAll(path, folderMode); err != nil {
 		return nil, fmt.Errorf("make data folder: %w; check its parent's rights", err)
@@ -38,20 +39,22 @@
 		return nil, fmt.Errorf("open data folder's lock: %w", err)
 	}
 	if err := syscall.Flock(int(lock.Fd()), syscall.LOCK_EX|syscall.LOCK_NB); err != nil {
-		inUse := fmt.Errorf("data folder %s is in use by another process; stop it or name another folder", path)
-		return nil, errors.Join(inUse, lock.Close())
+		return nil, errors.Join(&InUseError{path}, lock.Close())
 	}
-	return &Folder{Path: path, files: []*os.File{lock}}, nil
+	return &Folder{Path: path, lock: lock, areas: map[string]*os.File{}}, nil
 }
 
-// Area opens a file, and preallocates it where it is shorter than size bytes.
+// Area opens a file, unless it is open already, and preallocates it where it is shorter than size bytes.
 func (f *Folder) Area(name string, size int64) (Area, error) {
 	path := filepath.Join(f.Path, name)
-	file, err := os.OpenFile(path, os.O_RDWR|os.O_CREATE, fileMode)
-	if err != nil {
-		return nil, fmt.Errorf("open %s: %w", path, err)
+	file := f.areas[name]
+	if file == nil {
+		var err error
+		if file, err = os.OpenFile(path, os.O_RDWR|os.O_CREATE, fileMode); err != nil {
+			return nil, fmt.Errorf("open %s: %w", path, err)
+		}
+		f.areas[name] = file
 	}
-	f.files = append(f.files, file)
 	info, err := file.Stat()
 	if err != nil {
 		return nil, err
@@ -67,7 +70,7 @@
 // preallocate makes room for a file, so that writing to it later can't fail for want of space, and syncs its entry in the
 // folder.
 func (f *Folder) preallocate(file *os.File, path string, size int64) error {
-	if err := syscall.Fallocate(int(file.Fd()), 0, 0, size); err != nil {
+	if err := fallocate(file, size); err != nil {
 		return fmt.Errorf("preallocate %d bytes for %s: %w; make room on the disk", size, path, err)
 	}
 	if err := file.Sync(); err != nil {
@@ -76,6 +79,16 @@
 	return f.syncFolder()
 }
 
+// fallocate tries again after a signal has interrupted it.
+func fallocate(file *os.File, size int64) error {
+	for {
+		err := syscall.Fallocate(int(file.Fd()), 0, 0, size)
+		if !errors.Is(err, syscall.EINTR) {
+			return err
+		}
+	}
+}
+
 // syncFolder returns after the names of the folder's files are on disk.
 func (f *Folder) syncFolder() error {
 	folder, err := os.Open(f.Path)
@@ -90,7 +103,7 @@
 
 // Wipe removes all areas, so that the machine rejoins as a new member. Areas that are open must not be used any more.
 func (f *Folder) Wipe() error {
-	if err := f.forgetInitialCluster(); err != nil {
+	if err := errors.Join(f.closeAreas(), f.forgetInitialCluster()); err != nil {
 		return err
 	}
 	paths, err := filepath.Glob(filepath.Join(f.Path, areaPattern))
@@ -106,9 +119,14 @@
 
 // Close closes all areas and releases the lock.
 func (f *Folder) Close() error {
+	return errors.Join(f.closeAreas(), f.lock.Close())
+}
+
+func (f *Folder) closeAreas() error {
 	var faults []error
-	for i := len(f.files) - 1; i >= 0; i-- {
-		faults = append(faults, f.files[i].Close())
+	for name, file := range f.areas {
+		faults = append(faults, file.Close())
+		delete(f.areas, name)
 	}
 	return errors.Join(faults...)
 }
@@ -134,13 +152,14 @@
 	for waited := time.Duration(0); ; waited += constants.FullDiskPause {
 		n, err := file.WriteAt(p[written:], offset+int64(written))
 		written += n
-		if !isDiskFull(err) || waited >= constants.MaxFullDisk {
+		if !IsDiskFull(err) || waited >= constants.MaxFullDisk {
 			return written, err
 		}
 		pause()
 	}
 }
 
-func isDiskFull(err error) bool {
+// IsDiskFull tells whether an error says that there is no room on the disk.
+func IsDiskFull(err error) bool {
 	return errors.Is(err, syscall.ENOSPC) || errors.Is(err, syscall.EDQUOT)
 }
--- a/internal/node/disk.go
+++ b/internal/node/disk.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"slices"
@@ -27,18 +28,31 @@
 func OpenFolder(path string) (Folder, error) { return journal.OpenFolder(path) }
 
 // openDisk reads the data folder into the control machine's options.
-func (n *Node) openDisk(openFolder func(path string) (Folder, error), options *controlplane.Options) error {
-	folder, err := openFolder(n.settings.Data)
+func (n *Node) openDisk(ctx context.Context, openFolder func(path string) (Folder, error), options *controlplane.Options) error {
+	var folder Folder
+	err := n.retryStart(ctx, "data folder", func() (err error) {
+		folder, err = openFolder(n.settings.Data)
+		return err
+	})
 	if err != nil {
 		return err
 	}
 	n.cleanup.push("data folder", folder.Close)
 	// Before the journal, since that takes longer: a process that is killed meanwhile goes on from here.
-	initial, err := n.initialCluster(folder, options.TellsFirstStart)
+	var initial *bootstrap.InitialCluster
+	err = n.retryStart(ctx, "record of the first start", func() (err error) {
+		initial, err = n.initialCluster(folder, options.TellsFirstStart)
+		return err
+	})
 	if err != nil {
 		return err
 	}
-	state, isWiped, err := n.openJournal(folder)
+	var state *journal.State
+	var isWiped bool
+	err = n.retryStart(ctx, "journal", func() (err error) {
+		state, isWiped, err = n.openJournal(folder)
+		return err
+	})
 	if err != nil {
 		return err
 	}
--- a/internal/node/entry_service.go
+++ b/internal/node/entry_service.go
@@ -31,7 +31,7 @@
 
 func (s *entryService) tickEvery() time.Duration { return constants.Tick }
 
-func (s *entryService) start(isRestart bool) error {
+func (s *entryService) start(ctx context.Context, isRestart bool) error {
 	n := s.node
 	s.replica = idempotency.NewReplica(n.self.Id, isRestart)
 	s.pool = proxy.NewPool(n.settings.Proxy)
@@ -50,10 +50,10 @@
 		Responses: s.kept,
 		Log:       n.log.With("part", "proxy"),
 	})
-	if err := n.openNetwork(); err != nil {
+	if err := n.openNetwork(ctx); err != nil {
 		return err
 	}
-	if err := s.listen(); err != nil {
+	if err := s.listen(ctx); err != nil {
 		return err
 	}
 	n.tasks.Go(func() { s.checkHealth(n.ctx) })
@@ -64,14 +64,14 @@
 	return nil
 }
 
-func (s *entryService) listen() error {
+func (s *entryService) listen(ctx context.Context) error {
 	n := s.node
-	proxyListener, err := listen("proxy", n.settings.Proxy)
+	proxyListener, err := n.listen(ctx, "proxy", n.settings.Proxy)
 	if err != nil {
 		return err
 	}
 	n.serve("proxy", proxyListener, s.proxyHandler(), defaultTimeouts)
-	adminListener, err := listen("admin", n.settings.Admin)
+	adminListener, err := n.listen(ctx, "admin", n.settings.Admin)
 	if err != nil {
 		return err
 	}
--- a/internal/node/listeners.go
+++ b/internal/node/listeners.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"log/slog"
@@ -30,9 +31,13 @@
 // Unwrap gives the network's error.
 func (e *ListenError) Unwrap() error { return e.Cause }
 
-// listen opens a TCP listener for a part of the process.
-func listen(part, address string) (net.Listener, error) {
-	listener, err := net.Listen("tcp", address)
+// listen opens a TCP listener for a part of the process. It waits while a former process of the machine has the address.
+func (n *Node) listen(ctx context.Context, part, address string) (net.Listener, error) {
+	var listener net.Listener
+	err := n.retryStart(ctx, part, func() (err error) {
+		listener, err = net.Listen("tcp", address)
+		return err
+	})
 	if err != nil {
 		return nil, &ListenError{Address: address, Part: part, Cause: err}
 	}
--- a/internal/node/native_test.go
+++ b/internal/node/native_test.go
@@ -151,7 +151,7 @@
 		if err := m.settings.Check(); err != nil {
 			t.Fatal(err)
 		}
-		n, err := node.Start(node.Options{Settings: m.settings, Log: slog.New(slog.DiscardHandler), OpenFolder: node.OpenFolder})
+		n, err := node.Start(context.Background(), node.Options{Settings: m.settings, Log: slog.New(slog.DiscardHandler), OpenFolder: node.OpenFolder})
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -76,8 +76,8 @@
 	routed() *controlplane.RouteOptions
 	// tickEvery is how often the control machine looks at the clock.
 	tickEvery() time.Duration
-	// start begins to serve: the control machine is made, nothing listens yet.
-	start(isRestart bool) error
+	// start begins to serve: the control machine is made, nothing listens yet. The end of ctx ends its waits.
+	start(ctx context.Context, isRestart bool) error
 	// published tells that current replaced previous; the owner calls it.
 	published(previous, current *controlplane.Local)
 	// respond answers a peer's request that is not meant for the control machine, and reports whether it did.
@@ -88,8 +88,9 @@
 	grantLease(call leader.LeaseCall)
 }
 
-// Start brings a process up. Whoever gets a node calls Wait, which also ends it.
-func Start(options Options) (*Node, error) {
+// Start brings a process up; until it is up, the end of ctx ends it with the context's error. Whoever gets a node calls Wait, which also
+// ends it.
+func Start(ctx context.Context, options Options) (*Node, error) {
 	n := &Node{
 		settings: options.Settings,
 		log:      options.Log,
@@ -102,7 +103,7 @@
 	n.disk.Store(&adminapi.Disk{Folder: n.settings.Data})
 	n.transport = newTransport(n)
 	n.service = newService(n, options.Platform)
-	if err := n.start(options.OpenFolder, options.Platform); err != nil {
+	if err := n.start(ctx, options.OpenFolder, options.Platform); err != nil {
 		n.cancel()
 		return nil, errors.Join(err, n.Close())
 	}
@@ -122,7 +123,7 @@
 // Now is the process's own monotonic clock. It starts at an hour, so that no zero time is recent.
 func (n *Node) Now() time.Duration { return time.Since(n.begun) + clockStart }
 
-func (n *Node) start(openFolder func(path string) (Folder, error), platform *Platform) error {
+func (n *Node) start(ctx context.Context, openFolder func(path string) (Folder, error), platform *Platform) error {
 	n.self = newSelf(n.settings)
 	options := controlplane.Options{
 		Self:   n.self,
@@ -136,7 +137,7 @@
 		TellsFirstStart: platform != nil && platform.TellsFirstStart,
 	}
 	if n.self.Disk {
-		if err := n.openDisk(openFolder, &options); err != nil {
+		if err := n.openDisk(ctx, openFolder, &options); err != nil {
 			return err
 		}
 	}
@@ -145,7 +146,7 @@
 	if err := n.machine.Refused(); err != nil {
 		return err
 	}
-	if err := n.service.start(options.Restart); err != nil {
+	if err := n.service.start(ctx, options.Restart); err != nil {
 		return err
 	}
 	n.log.Info("started", "peer", n.settings.Peer, "proxy", n.settings.Proxy, "admin", n.settings.Admin, "zone", n.settings.Zone,
--- a/internal/node/route_service.go
+++ b/internal/node/route_service.go
@@ -54,7 +54,7 @@
 
 func (s *routeService) tickEvery() time.Duration { return constants.RoutedTick }
 
-func (s *routeService) start(bool) error {
+func (s *routeService) start(ctx context.Context, _ bool) error {
 	n := s.node
 	s.gateway = gateway.New(gateway.Options{
 		Self:     n.self,
@@ -68,11 +68,11 @@
 		Log:      n.log.With("part", "gateway"),
 	})
 	n.cleanup.push("gateway", s.gateway.Close)
-	if err := n.openNetwork(); err != nil {
+	if err := n.openNetwork(ctx); err != nil {
 		return err
 	}
 	for address, handler := range s.platform.Serve(s.outside()) {
-		if err := s.listen(address, handler); err != nil {
+		if err := s.listen(ctx, address, handler); err != nil {
 			return err
 		}
 	}
@@ -84,17 +84,17 @@
 	return nil
 }
 
-func (s *routeService) listen(address string, handler http.Handler) error {
+func (s *routeService) listen(ctx context.Context, address string, handler http.Handler) error {
 	n := s.node
 	if handler != http.Handler(s.gateway) {
-		listener, err := listen("platform", address)
+		listener, err := n.listen(ctx, "platform", address)
 		if err != nil {
 			return err
 		}
 		n.serve("platform", listener, handler, defaultTimeouts)
 		return nil
 	}
-	listener, err := listen("gateway", address)
+	listener, err := n.listen(ctx, "gateway", address)
 	if err != nil {
 		return err
 	}
--- a/internal/node/routed_test.go
+++ b/internal/node/routed_test.go
@@ -189,7 +189,7 @@
 	if s.Data != "" {
 		platform.List = p.list
 	}
-	n, err := node.Start(node.Options{Settings: s, Log: slog.New(slog.DiscardHandler), OpenFolder: node.OpenFolder, Platform: platform})
+	n, err := node.Start(context.Background(), node.Options{Settings: s, Log: slog.New(slog.DiscardHandler), OpenFolder: node.OpenFolder, Platform: platform})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/node/transport.go
+++ b/internal/node/transport.go
@@ -50,8 +50,12 @@
 }
 
 // openNetwork listens for peers and starts the owner. Its clean-up ends the owner and waits for all tasks.
-func (n *Node) openNetwork() error {
-	network, err := frame.Open(frame.Options{Listen: n.settings.Peer, Handle: n.receive, Log: n.log.With("part", "frame")})
+func (n *Node) openNetwork(ctx context.Context) error {
+	var network *frame.Network
+	err := n.retryStart(ctx, "peers", func() (err error) {
+		network, err = frame.Open(frame.Options{Listen: n.settings.Peer, Handle: n.receive, Log: n.log.With("part", "frame")})
+		return err
+	})
 	if err != nil {
 		return err
 	}
