A node's process takes its signals from its first instruction on, and waits for a settings file that is being written

Callers saw: processes that end by themselves. SIGHUP within the first milliseconds after a start ended the process; SIGTERM there ended it by the signal and not with 0; a line that was logged after the reader of standard error had gone ended it by SIGPIPE; a settings file that was missing, empty or half written at the start ended it with 2.

Cause: handlers were registered once the settings were read, SIGPIPE never; the file was read once.

Change: main catches the signals before anything else and hands them to the command; SIGPIPE is ignored by nodes, not by operators' commands; a file that can't be read, or isn't whole, is read again for constants.SettingsWait. Wrong settings in a whole file end the process at once.

--- a/cmd/topazshed/main.go
+++ b/cmd/topazshed/main.go
@@ -10,6 +10,10 @@
 )
 
 func main() {
+	var signals *processSignals
+	if runsNode(os.Args) {
+		signals = catchSignals()
+	}
 	subcommands.Register(subcommands.HelpCommand(), "")
 	subcommands.Register(subcommands.CommandsCommand(), "")
 	subcommands.Register(subcommands.FlagsCommand(), "")
@@ -24,5 +28,5 @@
 	subcommands.Register(&rolloutCommand{}, "operators")
 	subcommands.Register(&versionCommand{}, "")
 	flag.Parse()
-	os.Exit(int(subcommands.Execute(context.Background())))
+	os.Exit(int(subcommands.Execute(context.Background(), signals)))
 }
--- a/cmd/topazshed/platform.go
+++ b/cmd/topazshed/platform.go
@@ -12,6 +12,7 @@
 
 	"topazshed/internal/constants"
 	"topazshed/internal/node"
+	"topazshed/internal/settings"
 	"topazshed/platform"
 )
 
@@ -29,11 +30,21 @@
 	flags.TextVar(&c.level, "log-level", &c.level, "debug, info, warn or error")
 }
 
-func (c *platformCommand) Execute(ctx context.Context, flags *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+func (c *platformCommand) Execute(ctx context.Context, flags *flag.FlagSet, arguments ...any) subcommands.ExitStatus {
 	if err := takesNoArguments(c.Name(), flags); err != nil {
 		return exit(err)
 	}
-	file, own, bounds, err := platform.Read()
+	signals := signalsOf(arguments)
+	ctx, cancel := signals.context(ctx)
+	defer cancel()
+	log := newLog(&c.level)
+	var file *platform.File
+	var own *settings.Settings
+	var bounds node.Bounds
+	err := readWhenWhole(ctx, log, func() (err error) {
+		file, own, bounds, err = platform.Read()
+		return err
+	})
 	if err != nil {
 		return exit(err)
 	}
@@ -41,10 +52,9 @@
 		debug.SetMemoryLimit(int64(file.Limits.MemoryMB * (1 << 20) * constants.MemoryShare))
 	}
 	debug.SetGCPercent(constants.GarbagePercent)
-	log := newLog(&c.level)
 	options := node.Options{Settings: own, Log: log, OpenFolder: node.OpenFolder, Platform: platform.NewPlatform(file, bounds)}
-	return runNode(ctx, options, func(ctx context.Context, n *node.Node, hangups <-chan os.Signal) {
-		followSettings(ctx, log, hangups, n)
+	return runNode(ctx, cancel, options, func(ctx context.Context, n *node.Node) {
+		followSettings(ctx, log, signals.hangups, n)
 	})
 }
 
--- a/cmd/topazshed/serve.go
+++ b/cmd/topazshed/serve.go
@@ -4,7 +4,6 @@
 	"context"
 	"flag"
 	"log/slog"
-	"os"
 	"reflect"
 
 	"github.com/google/subcommands"
@@ -26,24 +25,31 @@
 }
 func (c *serveCommand) SetFlags(flags *flag.FlagSet) { c.read = settings.Flags(flags) }
 
-func (c *serveCommand) Execute(ctx context.Context, flags *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+func (c *serveCommand) Execute(ctx context.Context, flags *flag.FlagSet, arguments ...any) subcommands.ExitStatus {
 	if err := takesNoArguments(c.Name(), flags); err != nil {
 		return exit(err)
 	}
-	running, err := c.read()
+	signals := signalsOf(arguments)
+	ctx, cancel := signals.context(ctx)
+	defer cancel()
+	level := &slog.LevelVar{}
+	log := newLog(level)
+	var running *settings.Settings
+	err := readWhenWhole(ctx, log, func() (err error) {
+		running, err = c.read()
+		return err
+	})
 	if err != nil {
 		return exit(err)
 	}
-	level := &slog.LevelVar{}
 	if err := level.UnmarshalText([]byte(running.LogLevel)); err != nil {
 		return exit(&UsageError{err.Error()})
 	}
-	log := newLog(level)
 	options := node.Options{Settings: running, Log: log, OpenFolder: node.OpenFolder}
-	return runNode(ctx, options, func(ctx context.Context, _ *node.Node, hangups <-chan os.Signal) {
+	return runNode(ctx, cancel, options, func(ctx context.Context, _ *node.Node) {
 		for {
 			select {
-			case <-hangups:
+			case <-signals.hangups:
 				fresh, err := c.read()
 				reload(running, fresh, err, level, log)
 			case <-ctx.Done():
