A log that nobody reads stops no process

A supervisor that keeps the pipe of standard error open and does not read it stopped the whole process once the pipe was full (64 KB): each goroutine that logs waits, the owner of the control machine among them.

--- a/cmd/topazshed/platform.go
+++ b/cmd/topazshed/platform.go
@@ -37,7 +37,8 @@
 	signals := signalsOf(arguments)
 	ctx, cancel := signals.context(ctx)
 	defer cancel()
-	log := newLog(&c.level)
+	log, flush := newLog(&c.level)
+	defer flush()
 	var file *platform.File
 	var own *settings.Settings
 	var bounds node.Bounds
--- a/cmd/topazshed/run_node.go
+++ b/cmd/topazshed/run_node.go
@@ -16,8 +16,10 @@
 	"topazshed/internal/settings"
 )
 
-func newLog(level slog.Leveler) *slog.Logger {
-	return slog.New(slog.NewJSONHandler(os.Stderr, &slog.HandlerOptions{Level: level}))
+// newLog gives a node's log, and a function that hands on what is left of it at the process's end.
+func newLog(level slog.Leveler) (log *slog.Logger, flush func()) {
+	writer := newLogWriter(os.Stderr)
+	return slog.New(slog.NewJSONHandler(writer, &slog.HandlerOptions{Level: level})), writer.flush
 }
 
 // runNode runs a process until it is told to stop by a signal or ctx. Meanwhile follow runs beside it; it gets the hangup
--- a/cmd/topazshed/serve.go
+++ b/cmd/topazshed/serve.go
@@ -33,7 +33,8 @@
 	ctx, cancel := signals.context(ctx)
 	defer cancel()
 	level := &slog.LevelVar{}
-	log := newLog(level)
+	log, flush := newLog(level)
+	defer flush()
 	var running *settings.Settings
 	err := readWhenWhole(ctx, log, func() (err error) {
 		running, err = c.read()
