testfleet starts: machines are killed, stopped, wiped and started at every instant of a first start and of restarts

Real processes on the users' platform, seeded, with a supervisor: processes overlap, settings files are half written, ports are busy, all are killed at once, disks are lost one at a time, configurations change in series meanwhile.

--- /dev/null
+++ b/cmd/testfleet/starts_fleet.go
@@ -0,0 +1,346 @@
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+)
+
+const (
+	// The ports of a machine on the platform.
+	platformListPort      = 8541
+	platformReadyPort     = 8542
+	platformControlPort   = 8544
+	platformDirectoryPort = 8546
+	platformFrontPort     = 8548
+	platformInnerFirst    = 7540
+	platformInnerLast     = 7555
+	// platformMemory is what a process may use, in megabytes, and platformDisk the size of a disk.
+	platformMemory = 284
+	platformDisk   = 64
+	// stopGrace is how long a process has from SIGTERM to its end.
+	stopGrace = 6 * time.Second
+	// supervisorPause is the time until a process that ended by itself is started again.
+	supervisorPause = 200 * time.Millisecond
+	// halfWrittenFor is how long a settings file stays half written.
+	halfWrittenFor = 80 * time.Millisecond
+)
+
+// platformMachine is one machine and its processes.
+type platformMachine struct {
+	name, ip string
+	place    zonePlace
+	hasDisk  bool
+
+	// lock guards what follows. current is the newest process; wasStarted says that there was one.
+	lock       sync.Mutex
+	current    *platformProcess
+	wasStarted bool
+}
+
+func (m *platformMachine) at(port int) string { return m.ip + ":" + strconv.Itoa(port) }
+
+// platformProcess is one process. lock guards isMeant, which says that the rig ends it, and isGone.
+type platformProcess struct {
+	command *exec.Cmd
+	begun   time.Time
+	logPath string
+	ended   chan struct{}
+
+	lock    sync.Mutex
+	isMeant bool
+}
+
+// signal sends a signal; isEnd says that the process is meant to end by it.
+func (p *platformProcess) signal(signal syscall.Signal, isEnd bool) {
+	p.lock.Lock()
+	defer p.lock.Unlock()
+	p.isMeant = p.isMeant || isEnd
+	p.command.Process.Signal(signal)
+}
+
+func (p *platformProcess) isMeantToEnd() bool {
+	p.lock.Lock()
+	defer p.lock.Unlock()
+	return p.isMeant
+}
+
+// platformFleet runs the machines of a deployment on the users' platform, and its list. It is safe for concurrent use.
+type platformFleet struct {
+	program, folder string
+	// net is the second byte of all loopback addresses.
+	net      int
+	machines []*platformMachine
+	seeds    []string
+	list     *http.Server
+
+	lock       sync.Mutex
+	processes  []*platformProcess
+	violations []string
+	isClosed   bool
+	spawner    Fleet
+}
+
+// newPlatformFleet makes the machines and starts the list, and no process. Each zone has one machine with a disk; the first two have two
+// more, the others one, and all of them so many more as asked for.
+func newPlatformFleet(options startsOptions) (*platformFleet, error) {
+	f := &platformFleet{program: options.program, folder: options.folder, net: options.net}
+	for i, place := range zonePlaces {
+		count := 2 + options.more
+		if i < 2 {
+			count++
+		}
+		for number := 1; number <= count; number++ {
+			f.machines = append(f.machines, &platformMachine{
+				name:    fmt.Sprintf("%s-%d", place.zone, number),
+				ip:      fmt.Sprintf("127.%d.%d.%d", f.net, i+1, number),
+				place:   place,
+				hasDisk: number == 1,
+			})
+		}
+	}
+	for _, m := range f.machines {
+		if m.hasDisk && strings.HasSuffix(m.place.zone, "-a") {
+			f.seeds = append(f.seeds, m.at(platformControlPort))
+		}
+	}
+	var err error
+	f.list, err = listenAndServe(f.listAddress(), http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		w.Write([]byte(`{"instances":[],"next-token":null}`))
+	}))
+	return f, err
+}
+
+// settingsText is the settings file of a machine's next process.
+func (f *platformFleet) settingsText(m *platformMachine, isFirst bool) ([]byte, error) {
+	zones := map[string]string{}
+	for _, place := range zonePlaces {
+		zones[place.zone] = place.region
+	}
+	text := map[string]any{
+		"node-name": m.name, "role": "topazshed", "machine-class": "edge", "serves": []string{"edge", "control_plane", "resolver"},
+		"ip": m.ip, "zone": m.place.zone, "region": m.place.region, "zones": zones,
+		"listen": map[string]string{
+			"front": m.at(platformFrontPort), "readiness": m.at(platformReadyPort),
+			"control": m.at(platformControlPort), "directory": m.at(platformDirectoryPort),
+		},
+		"inner-port-range": []int{platformInnerFirst, platformInnerLast},
+		"seed-nodes":       f.seeds, "first-start": isFirst, "counted": m.hasDisk,
+		"limits":    map[string]any{"memory-mb": platformMemory, "disk-mb": platformDisk},
+		"bounds":    []string{"quiet-ms=4000", "grace-period-s=6", "apply-within-ms=2500", "drain-deadline-ms=2500", "max-hold-ms=10000", "ttl_max_s=5"},
+		"cloud-api": map[string]any{"address": f.listAddress(), "rate-per-s": 43.0, "lag-ms": 800},
+	}
+	if m.hasDisk {
+		text["data-dir"] = f.dataFolder(m)
+	}
+	return json.Marshal(text)
+}
+
+func (f *platformFleet) listAddress() string {
+	return fmt.Sprintf("127.%d.200.1:%d", f.net, platformListPort)
+}
+
+func (f *platformFleet) dataFolder(m *platformMachine) string {
+	return filepath.Join(f.folder, m.name)
+}
+
+// start starts a machine's next process, beside a former one if that still runs. Where isSlow, half of its settings file is there first.
+func (f *platformFleet) start(m *platformMachine, isSlow bool) error {
+	m.lock.Lock()
+	defer m.lock.Unlock()
+	text, err := f.settingsText(m, !m.wasStarted)
+	if err != nil {
+		return err
+	}
+	path := filepath.Join(f.folder, m.name+".json")
+	written := text
+	if isSlow {
+		written = text[:len(text)/2]
+		time.AfterFunc(halfWrittenFor, func() { os.WriteFile(path, text, reportMode) })
+	}
+	if err := os.WriteFile(path, written, reportMode); err != nil {
+		return err
+	}
+	process, err := f.spawn(m, path)
+	if err != nil {
+		return err
+	}
+	m.current, m.wasStarted = process, true
+	go f.supervise(m, process)
+	return nil
+}
+
+func (f *platformFleet) spawn(m *platformMachine, settings string) (*platformProcess, error) {
+	f.lock.Lock()
+	defer f.lock.Unlock()
+	if f.isClosed {
+		return nil, errors.New("the fleet is closed")
+	}
+	logPath := filepath.Join(f.folder, fmt.Sprintf("%s.%d.log", m.name, len(f.processes)))
+	log, err := os.Create(logPath)
+	if err != nil {
+		return nil, err
+	}
+	defer log.Close()
+	command := exec.Command(f.program, "platform")
+	command.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "TOPAZSHED_CONFIG=" + settings}
+	command.Stdout, command.Stderr = log, log
+	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := f.spawner.spawn(command); err != nil {
+		return nil, err
+	}
+	process := &platformProcess{command: command, begun: time.Now(), logPath: logPath, ended: make(chan struct{})}
+	f.processes = append(f.processes, process)
+	return process, nil
+}
+
+// supervise waits for a process's end. One that ends by itself breaks the rule, and is started again.
+func (f *platformFleet) supervise(m *platformMachine, process *platformProcess) {
+	process.command.Wait()
+	close(process.ended)
+	if process.isMeantToEnd() {
+		return
+	}
+	f.reportViolation("%s ended by itself %v after its start: %v, %s", m.name, time.Since(process.begun).Round(time.Millisecond),
+		process.command.ProcessState, lastLine(process.logPath))
+	time.Sleep(supervisorPause)
+	m.lock.Lock()
+	isNewest := m.current == process
+	m.lock.Unlock()
+	if isNewest {
+		f.start(m, false)
+	}
+}
+
+// lastLine is the last line of a process's log.
+func lastLine(path string) string {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return err.Error()
+	}
+	lines := bytes.Split(bytes.TrimSpace(text), []byte("\n"))
+	return string(lines[len(lines)-1])
+}
+
+// kill ends a machine's newest process at once, and does not wait for that.
+func (f *platformFleet) kill(m *platformMachine) {
+	m.lock.Lock()
+	defer m.lock.Unlock()
+	if m.current != nil {
+		m.current.signal(syscall.SIGKILL, true)
+	}
+}
+
+// stop tells a machine's newest process to end, and checks that it does so in time.
+func (f *platformFleet) stop(m *platformMachine) {
+	m.lock.Lock()
+	process := m.current
+	m.lock.Unlock()
+	if process != nil {
+		f.stopProcess(m, process)
+	}
+}
+
+// stopProcess tells a process to end, and checks that it does so in time.
+func (f *platformFleet) stopProcess(m *platformMachine, process *platformProcess) {
+	process.signal(syscall.SIGTERM, true)
+	go func() {
+		select {
+		case <-process.ended:
+		case <-time.After(stopGrace + time.Second):
+			f.reportViolation("%s still runs %v after SIGTERM", m.name, stopGrace+time.Second)
+			process.signal(syscall.SIGKILL, true)
+		}
+	}()
+}
+
+// wipe kills a machine and empties its disk once the process is gone.
+func (f *platformFleet) wipe(m *platformMachine) error {
+	f.kill(m)
+	m.lock.Lock()
+	process := m.current
+	m.lock.Unlock()
+	if process != nil {
+		<-process.ended
+	}
+	return os.RemoveAll(f.dataFolder(m))
+}
+
+// hangUp tells a machine's newest process that its settings have changed.
+func (f *platformFleet) hangUp(m *platformMachine) {
+	m.lock.Lock()
+	defer m.lock.Unlock()
+	if m.current != nil {
+		m.current.signal(syscall.SIGHUP, false)
+	}
+}
+
+// checkMemory holds that no process that runs has used more memory than it may.
+func (f *platformFleet) checkMemory() {
+	for _, m := range f.machines {
+		if used := peakMemory(m.current.command.Process.Pid); used > platformMemory {
+			f.reportViolation("%s used %d MB; %d are allowed", m.name, used, platformMemory)
+		}
+	}
+}
+
+// peakMemory is the most memory that a process has used, in megabytes; 0 if that is not known.
+func peakMemory(pid int) int {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	if err != nil {
+		return 0
+	}
+	for line := range strings.Lines(string(text)) {
+		if fields := strings.Fields(line); len(fields) == 3 && fields[0] == "VmHWM:" {
+			kilobytes, _ := strconv.Atoi(fields[1])
+			return kilobytes >> 10
+		}
+	}
+	return 0
+}
+
+func (f *platformFleet) reportViolation(format string, arguments ...any) {
+	f.lock.Lock()
+	defer f.lock.Unlock()
+	if !f.isClosed {
+		f.violations = append(f.violations, fmt.Sprintf(format, arguments...))
+	}
+}
+
+func (f *platformFleet) allViolations() []string {
+	f.lock.Lock()
+	defer f.lock.Unlock()
+	return f.violations
+}
+
+func (f *platformFleet) processCount() int {
+	f.lock.Lock()
+	defer f.lock.Unlock()
+	return len(f.processes)
+}
+
+// close kills every process and ends the list.
+func (f *platformFleet) close() {
+	f.lock.Lock()
+	f.isClosed = true
+	processes := f.processes
+	f.lock.Unlock()
+	for _, process := range processes {
+		process.signal(syscall.SIGKILL, true)
+	}
+	for _, process := range processes {
+		<-process.ended
+	}
+	f.list.Close()
+}
--- a/test.sh
+++ b/test.sh
@@ -35,3 +35,4 @@
 bin/testfleet run -deployment port -rate 200 -seconds 50 -seed 1 -scenario scenarios/ci-port.txt
 bin/testfleet routed -seconds 24 -seed 1
 bin/testfleet soak -seeds 1 -storms 2
+bin/testfleet starts -seeds 1-3
