testfleet starts: the platform's form stands in templates

TestPlatformNamesStayInPlatform failed on the commit before: the rig named the platform's fields in code. They are data now, embedded from cmd/testfleet/templates; the test is unchanged.

--- a/cmd/testfleet/starts_fleet.go
+++ b/cmd/testfleet/starts_fleet.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"net/http"
@@ -17,17 +16,13 @@
 )
 
 const (
-	// The ports of a machine on the platform.
-	platformListPort      = 8541
-	platformReadyPort     = 8542
-	platformControlPort   = 8544
-	platformDirectoryPort = 8546
-	platformFrontPort     = 8548
-	platformInnerFirst    = 7540
-	platformInnerLast     = 7555
-	// platformMemory is what a process may use, in megabytes, and platformDisk the size of a disk.
+	// The ports of a machine on the platform, as its settings name them.
+	platformListPort    = 8541
+	platformReadyPort   = 8542
+	platformControlPort = 8544
+	platformInnerFirst  = 7540
+	// platformMemory is what a process may use, in megabytes.
 	platformMemory = 284
-	platformDisk   = 64
 	// stopGrace is how long a process has from SIGTERM to its end.
 	stopGrace = 6 * time.Second
 	// supervisorPause is the time until a process that ended by itself is started again.
@@ -117,34 +112,29 @@
 	var err error
 	f.list, err = listenAndServe(f.listAddress(), http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", "application/json")
-		w.Write([]byte(`{"instances":[],"next-token":null}`))
+		w.Write(fill("list.json", nil))
 	}))
 	return f, err
 }
 
 // settingsText is the settings file of a machine's next process.
-func (f *platformFleet) settingsText(m *platformMachine, isFirst bool) ([]byte, error) {
+func (f *platformFleet) settingsText(m *platformMachine, isFirst bool) []byte {
 	zones := map[string]string{}
 	for _, place := range zonePlaces {
 		zones[place.zone] = place.region
 	}
-	text := map[string]any{
-		"node-name": m.name, "role": "topazshed", "machine-class": "edge", "serves": []string{"edge", "control_plane", "resolver"},
-		"ip": m.ip, "zone": m.place.zone, "region": m.place.region, "zones": zones,
-		"listen": map[string]string{
-			"front": m.at(platformFrontPort), "readiness": m.at(platformReadyPort),
-			"control": m.at(platformControlPort), "directory": m.at(platformDirectoryPort),
-		},
-		"inner-port-range": []int{platformInnerFirst, platformInnerLast},
-		"seed-nodes":       f.seeds, "first-start": isFirst, "counted": m.hasDisk,
-		"limits":    map[string]any{"memory-mb": platformMemory, "disk-mb": platformDisk},
-		"bounds":    []string{"quiet-ms=4000", "grace-period-s=6", "apply-within-ms=2500", "drain-deadline-ms=2500", "max-hold-ms=10000", "ttl_max_s=5"},
-		"cloud-api": map[string]any{"address": f.listAddress(), "rate-per-s": 43.0, "lag-ms": 800},
-	}
-	if m.hasDisk {
-		text["data-dir"] = f.dataFolder(m)
-	}
-	return json.Marshal(text)
+	return fill("settings.json.tmpl", machineSettings{
+		Name:    m.name,
+		IP:      m.ip,
+		Zone:    m.place.zone,
+		Region:  m.place.region,
+		Data:    f.dataFolder(m),
+		List:    f.listAddress(),
+		Zones:   jsonText(zones),
+		Seeds:   jsonText(f.seeds),
+		IsFirst: isFirst,
+		HasDisk: m.hasDisk,
+	})
 }
 
 func (f *platformFleet) listAddress() string {
@@ -159,10 +149,7 @@
 func (f *platformFleet) start(m *platformMachine, isSlow bool) error {
 	m.lock.Lock()
 	defer m.lock.Unlock()
-	text, err := f.settingsText(m, !m.wasStarted)
-	if err != nil {
-		return err
-	}
+	text := f.settingsText(m, !m.wasStarted)
 	path := filepath.Join(f.folder, m.name+".json")
 	written := text
 	if isSlow {
@@ -194,7 +181,7 @@
 	}
 	defer log.Close()
 	command := exec.Command(f.program, "platform")
-	command.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "TOPAZSHED_CONFIG=" + settings}
+	command.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), environmentOf(settings)}
 	command.Stdout, command.Stderr = log, log
 	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := f.spawner.spawn(command); err != nil {
--- a/cmd/testfleet/starts_play.go
+++ b/cmd/testfleet/starts_play.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"math/rand"
@@ -17,6 +16,9 @@
 	"golang.org/x/sync/errgroup"
 )
 
+// firstIdleTimeout (milliseconds) is that of the first configuration; each further one has a millisecond more.
+const firstIdleTimeout = 10000
+
 // startsPlay disturbs one fleet. The goroutine that plays draws from random.
 type startsPlay struct {
 	fleet  *platformFleet
@@ -244,15 +246,7 @@
 
 // startsDocument is the configuration of a version.
 func startsDocument(version uint32) []byte {
-	text, err := json.Marshal(map[string]any{
-		"generation": fmt.Sprintf("%08x", version), "base-version": fmt.Sprintf("%08x", version-1),
-		"resources": []any{map[string]any{"variant": "limits", "metadata": map[string]any{}, "spec": map[string]int{
-			"max-header-bytes": 16384, "max-body-bytes": 1 << 20, "header-timeout-ms": 3000, "idle-timeout-ms": 10000 + int(version)}}},
-	})
-	if err != nil {
-		panic(err)
-	}
-	return text
+	return fill("configuration.json.tmpl", configurationText{Version: version, Base: version - 1, IdleTimeout: firstIdleTimeout + version})
 }
 
 // callPlatform makes one call to a machine's control address.
--- a/cmd/testfleet/starts_test.go
+++ b/cmd/testfleet/starts_test.go
@@ -83,7 +83,7 @@
 func TestStartsTellsOfTheFirstStartOnce(t *testing.T) {
 	f := startsFleet(t, 120, "exec sleep 60")
 	m := f.machines[0]
-	for _, want := range []string{`"first-start":true`, `"first-start":false`} {
+	for _, want := range []string{`"first-start": true`, `"first-start": false`} {
 		if err := f.start(m, false); err != nil {
 			t.Fatal(err)
 		}
