Configurations under way are bounded together

Seen: the process goes over its memory limit. Each document that an operator puts is bounded (8 MB), any number of them is read at once: 3, 10 and 20 puts of 8.4 MB at one machine took 155, 364 and 716 MB at the peak, 284 allowed; the kernel or the supervisor ends such a process.

Cause: a bound for each request, none for their sum. Class: sums without a bound.

Change: a budget of 8 MB in one process for documents that are read, checked or shown; a call waits 0.8 s for its turn, then gets 503 with Retry-After. A caller has 10 s to send its document, so that a slow one does not keep the budget. A shown document is taken to be as large as the one before.

TestConfigurationsBeyondTheBudgetAreToldToComeAgain, TestABudgetBoundsDocumentsTogether. A refused large body is not read, so that its caller may see the connection end in place of the 503.

Open: the leader takes the documents that all nodes forward; each node forwards one large one at a time.

--- a/internal/adminapi/operators.go
+++ b/internal/adminapi/operators.go
@@ -11,6 +11,7 @@
 	"github.com/go-chi/chi/v5"
 
 	"topazshed/internal/constants"
+	"topazshed/internal/documents"
 	"topazshed/internal/routes"
 	"topazshed/internal/schema"
 )
@@ -53,6 +54,12 @@
 			Reply{Kind: kindBadBase, Message: "name the version that the document was based on: ?base=N, 0 for the first"})
 		return
 	}
+	release, err := s.options.Documents.Acquire(r.Context(), r.ContentLength)
+	if err != nil {
+		writeBusy(w, err)
+		return
+	}
+	defer release()
 	document, isComplete := s.readDocument(w, r)
 	if !isComplete {
 		return
@@ -77,13 +84,24 @@
 	}
 }
 
+// busyRetryAfter (seconds) is what a caller is told to wait after a 503 of the budget of documents.
+const busyRetryAfter = "1"
+
+// writeBusy answers a call whose document has no room; nothing was done.
+func writeBusy(w http.ResponseWriter, err error) {
+	w.Header().Set("Retry-After", busyRetryAfter)
+	write(w, http.StatusServiceUnavailable, Reply{Kind: kindBusy, Message: err.Error()})
+}
+
 // readDocument reads the body of a put; if it can't be used, it answers the call and gives false.
 func (s *Server) readDocument(w http.ResponseWriter, r *http.Request) ([]byte, bool) {
 	limit := int64(constants.DocumentLimit)
 	if s.options.Routed != nil {
 		limit = constants.RoutesDocumentLimit
 	}
+	lift := documents.BoundRead(w)
 	document, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
+	lift()
 	switch {
 	case err != nil:
 		write(w, http.StatusBadRequest, Reply{Kind: kindCutShort, Message: "the document ended early; send it whole"})
@@ -98,10 +116,17 @@
 
 // showConfiguration gives the newest configuration as it was put, or an empty one under version 0.
 func (s *Server) showConfiguration(w http.ResponseWriter, r *http.Request) {
+	release, err := s.options.Documents.AcquireShown(r.Context())
+	if err != nil {
+		writeBusy(w, err)
+		return
+	}
+	defer release()
 	response := s.operate(w, r, &schema.OperatorRequest{Kind: schema.OperatorKind_OPERATOR_SHOW})
 	if response == nil {
 		return
 	}
+	s.options.Documents.NoteShown(len(response.Document))
 	w.Header().Set("Content-Type", "application/json")
 	w.Header().Set(versionHeader, strconv.FormatUint(response.Version, 10))
 	if response.Version != 0 {
--- a/internal/adminapi/reply.go
+++ b/internal/adminapi/reply.go
@@ -14,6 +14,7 @@
 	kindNoLeader = "no_leader"
 	kindDoubtful = "doubtful"
 	kindOversize = "oversize"
+	kindBusy     = "busy"
 	kindBadBase  = "bad-base"
 	kindCutShort = "cut-short"
 	kindNotReady = "not-ready"
--- a/internal/adminapi/server.go
+++ b/internal/adminapi/server.go
@@ -8,7 +8,9 @@
 
 	"github.com/go-chi/chi/v5"
 
+	"topazshed/internal/constants"
 	"topazshed/internal/controlplane"
+	"topazshed/internal/documents"
 	"topazshed/internal/gateway"
 	"topazshed/internal/idempotency"
 	"topazshed/internal/proxy"
@@ -28,6 +30,8 @@
 	Local func() *controlplane.Local
 	// Operate passes a request to the leader and waits for its response. After an error the request may still take effect.
 	Operate func(ctx context.Context, request *schema.OperatorRequest) (*schema.OperatorResponse, error)
+	// Documents bounds the configurations that are read and shown at once; nil is a budget of this API alone.
+	Documents *documents.Budget
 	// Stats gives the node's counters of requests by their result.
 	Stats func() map[string]uint64
 	// Replica gives the state of the node's replica of reservations; nil in a fleet of routes.
@@ -56,6 +60,9 @@
 
 // New gives the handler of all calls.
 func New(options Options) http.Handler {
+	if options.Documents == nil {
+		options.Documents = documents.NewBudget(constants.DocumentBudget, constants.DocumentWait)
+	}
 	s := &Server{options}
 	router := s.newRouter()
 	if options.Routed != nil {
--- a/internal/constants/operators.go
+++ b/internal/constants/operators.go
@@ -23,6 +23,12 @@
 	EntriesLimit = 4096
 	// RoutesDocumentLimit (bytes) of a configuration of routes: half of FrameLimit.
 	RoutesDocumentLimit = 8 << 20
+	// DocumentBudget (bytes) of configurations are under way in one process at once: reading and checking one takes about four times its size.
+	DocumentBudget = RoutesDocumentLimit
+	// DocumentWait is how long a call waits for room in it: callers go on to another node after a second.
+	DocumentWait = 800 * time.Millisecond
+	// DocumentReadWait is how long a caller may take to send its document, so that a slow one does not keep the budget.
+	DocumentReadWait = 10 * time.Second
 	// AcceptedConfigs (configurations) are remembered by version and digest, so that one that is sent again is recognised: four
 	// hours at 21,000 a day.
 	AcceptedConfigs = 4096
--- a/internal/node/entry_service.go
+++ b/internal/node/entry_service.go
@@ -189,6 +189,9 @@
 		Now:     n.Now,
 		Local:   n.local.Load,
 		Operate: n.operate,
+
+		Documents: n.documents,
+
 		Stats:   s.executor.Stats,
 		Replica: s.replica.Status,
 		Disk:    n.diskState,
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -14,7 +14,9 @@
 	"time"
 
 	"topazshed/internal/adminapi"
+	"topazshed/internal/constants"
 	"topazshed/internal/controlplane"
+	"topazshed/internal/documents"
 	"topazshed/internal/journal"
 	"topazshed/internal/leader"
 	"topazshed/internal/schema"
@@ -56,6 +58,7 @@
 	local atomic.Pointer[controlplane.Local]
 	disk  atomic.Pointer[adminapi.Disk]
 
+	documents        *documents.Budget
 	transport        *transport
 	operatorRequests sync.Map // ticket (operations.Ticket) -> chan *schema.OperatorResponse
 	servers          []*http.Server
@@ -98,6 +101,7 @@
 		commands: make(chan func(), commandQueue),
 		fatal:    make(chan error, 1),
 	}
+	n.documents = documents.NewBudget(constants.DocumentBudget, constants.DocumentWait)
 	n.ctx, n.cancel = context.WithCancel(context.Background())
 	n.local.Store(&controlplane.Local{View: store.NewView()})
 	n.disk.Store(&adminapi.Disk{Folder: n.settings.Data})
--- a/internal/node/platform.go
+++ b/internal/node/platform.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"topazshed/internal/discovery"
+	"topazshed/internal/documents"
 	"topazshed/internal/gateway"
 	"topazshed/internal/schema"
 	"topazshed/internal/sharding"
@@ -58,6 +59,8 @@
 	Requests http.Handler
 	// Operate carries an operator's request to the leader. After an error the request may still take effect.
 	Operate func(ctx context.Context, request *schema.OperatorRequest) (*schema.OperatorResponse, error)
+	// Documents bounds the configurations that are read and shown at once.
+	Documents *documents.Budget
 	// Resolve gives the addresses of nodes for a caller and how long they may be used; none if this node does not know.
 	Resolve func(region, zone string) ([]string, time.Duration)
 	// IsReady tells whether this node may get requests.
--- a/internal/node/route_service.go
+++ b/internal/node/route_service.go
@@ -114,6 +114,9 @@
 		Now:     n.Now,
 		Local:   n.local.Load,
 		Operate: n.operate,
+
+		Documents: n.documents,
+
 		Stats:   s.gateway.Stats,
 		Resting: func() []string { return s.gateway.Loads().Failing(n.Now()) },
 		Disk:    n.diskState,
@@ -122,10 +125,13 @@
 	return &Outside{
 		Requests: s.gateway,
 		Operate:  n.operate,
-		Resolve:  s.resolve,
-		IsReady:  s.isReady,
-		Admin:    adminapi.New(options),
-		Insight:  adminapi.NewInsight(options),
+
+		Documents: n.documents,
+
+		Resolve: s.resolve,
+		IsReady: s.isReady,
+		Admin:   adminapi.New(options),
+		Insight: adminapi.NewInsight(options),
 	}
 }
 
