testfleet starts: a folder for each seed, which must be empty

With -folder, all seeds shared one folder, so that a first start found the disks of the seed before: seed 33 read back configuration 468, the last one of seed 32.

--- a/cmd/testfleet/starts.go
+++ b/cmd/testfleet/starts.go
@@ -53,7 +53,7 @@
 func (c *startsCommand) SetFlags(flags *flag.FlagSet) {
 	o := &c.options
 	flags.StringVar(&o.program, "program", "bin/topazshed", "the program to run")
-	flags.StringVar(&o.folder, "folder", "", "folder for data and logs (default: a new temporary one a seed, kept after a failure)")
+	flags.StringVar(&o.folder, "folder", "", "folder for a folder a seed with data and logs, which must not be there yet (default: a temporary one, kept after a failure)")
 	flags.StringVar(&o.seeds, "seeds", "1", "seeds of the faults: 1-50 or 7")
 	flags.IntVar(&o.more, "more", 0, "machines without a disk in each zone beyond the usual 14 in all, from 0 to 30")
 	flags.IntVar(&o.net, "net", 61, "second byte of the loopback addresses, from 60 to 120: runs beside each other need one each")
@@ -97,10 +97,16 @@
 	if options.program, err = filepath.Abs(options.program); err != nil {
 		return nil, err
 	}
+	if options.folder != "" {
+		options.folder = filepath.Join(options.folder, fmt.Sprintf("seed-%d", seed))
+	}
 	folder, isTemporary, err := makeFolder(options.folder)
 	if err != nil {
 		return nil, err
 	}
+	if entries, err := os.ReadDir(folder); err != nil || len(entries) > 0 {
+		return nil, fmt.Errorf("folder %s is not empty (%v); a first start needs empty disks", folder, err)
+	}
 	options.folder = folder
 	f, err := newPlatformFleet(options)
 	if err != nil {
