--- a/internal/journal/folder.go
+++ b/internal/journal/folder.go
@@ -70,7 +70,8 @@
 // preallocate makes room for a file, so that writing to it later can't fail for want of space, and syncs its entry in the
 // folder.
 func (f *Folder) preallocate(file *os.File, path string, size int64) error {
-	if err := fallocate(file, size); err != nil {
+	allocate := func() error { return syscall.Fallocate(int(file.Fd()), 0, 0, size) }
+	if err := reserve(file, size, allocate); err != nil {
 		return fmt.Errorf("preallocate %d bytes for %s: %w; make room on the disk", size, path, err)
 	}
 	if err := file.Sync(); err != nil {
@@ -79,16 +80,41 @@
 	return f.syncFolder()
 }
 
-// fallocate tries again after a signal has interrupted it.
-func fallocate(file *os.File, size int64) error {
+// zeroChunkBytes are written at once where a file system can't allocate.
+const zeroChunkBytes = 1 << 20
+
+// reserve allocates a file's bytes, and tries again after a signal has interrupted that. On a file system that can't allocate it writes
+// zeros behind what the file holds.
+func reserve(file *os.File, size int64, allocate func() error) error {
 	for {
-		err := syscall.Fallocate(int(file.Fd()), 0, 0, size)
-		if !errors.Is(err, syscall.EINTR) {
+		switch err := allocate(); {
+		case errors.Is(err, syscall.EINTR):
+			continue
+		case errors.Is(err, syscall.EOPNOTSUPP), errors.Is(err, syscall.ENOSYS):
+			return writeZeros(file, size)
+		default:
 			return err
 		}
 	}
 }
 
+// writeZeros writes zeros from a file's end up to a size.
+func writeZeros(file *os.File, size int64) error {
+	info, err := file.Stat()
+	if err != nil {
+		return err
+	}
+	zeros := make([]byte, zeroChunkBytes)
+	for offset := info.Size(); offset < size; {
+		written, err := file.WriteAt(zeros[:min(size-offset, zeroChunkBytes)], offset)
+		offset += int64(written)
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // syncFolder returns after the names of the folder's files are on disk.
 func (f *Folder) syncFolder() error {
 	folder, err := os.Open(f.Path)
