--- a/internal/controlplane/first_start_test.go
+++ b/internal/controlplane/first_start_test.go
@@ -98,6 +98,21 @@
 	}
 }
 
+// Guards against the same where fewer than three seeds have a disk: one voter more must be lost than a majority bears, or the seed that
+// names the founder forgets that it did.
+func TestADisturbedFirstStartOfFewSeedsWithADiskGivesOneSystem(t *testing.T) {
+	for seedsWithDisk := 0; seedsWithDisk <= 2; seedsWithDisk++ {
+		for _, fault := range firstStartFaults {
+			if seedsWithDisk > 0 && !fault.wipes {
+				continue
+			}
+			t.Run(fmt.Sprintf("%d seeds with a disk, %s", seedsWithDisk, fault.name), func(t *testing.T) {
+				testseeds.Each(t, 12, func(t *testing.T, seed int64) { playFirstStart(t, seed, seedsWithDisk, fault) })
+			})
+		}
+	}
+}
+
 func playFirstStart(t *testing.T, seed int64, seedsWithDisk int, fault firstStartFault) {
 	w := newStoppedWorld(t, seed, 6, 3, worldSizes)
 	w.tellsFirstStart = true
