--- a/internal/bootstrap/bootstrap.go
+++ b/internal/bootstrap/bootstrap.go
@@ -161,12 +161,11 @@
 func (m *Machine) Answer(now time.Duration, request *schema.DiscoverRequest) *schema.DiscoverResponse {
 	m.noteAsked(request.GetNode().GetAddress())
 	return &schema.DiscoverResponse{
-		System:   m.system,
-		Nodes:    m.introductions(request.GetNode().GetRegion()),
-		Founding: m.options.IsRestart,
-		Disk:     m.options.Self.Disk,
-		Founder:  m.nominate(now),
-
+		System:            m.system,
+		Nodes:             m.introductions(request.GetNode().GetRegion()),
+		Founding:          m.options.IsRestart,
+		Disk:              m.options.Self.Disk,
+		Founder:           m.nominate(now),
 		InitialMembership: m.initialMembership(),
 	}
 }
--- a/internal/controlplane/bootstrap.go
+++ b/internal/controlplane/bootstrap.go
@@ -10,14 +10,13 @@
 
 func (c *Machine) newBootstrap() *bootstrap.Machine {
 	options := bootstrap.Options{
-		Self:       c.self,
-		Seeds:      c.options.Seeds,
-		System:     c.options.System,
-		IsRejoin:   c.options.Rejoin,
-		WasMember:  c.options.Restart && c.options.HardState.GetId() != "",
-		IsRestart:  c.options.Restart,
-		MixedSeeds: c.options.Routes != nil,
-
+		Self:            c.self,
+		Seeds:           c.options.Seeds,
+		System:          c.options.System,
+		IsRejoin:        c.options.Rejoin,
+		WasMember:       c.options.Restart && c.options.HardState.GetId() != "",
+		IsRestart:       c.options.Restart,
+		MixedSeeds:      c.options.Routes != nil,
 		TellsFirstStart: c.options.TellsFirstStart,
 		InitialCluster:  c.options.InitialCluster,
 		Draw:            c.options.Draw,
--- a/internal/node/entry_service.go
+++ b/internal/node/entry_service.go
@@ -185,17 +185,15 @@
 	n := s.node
 	finder := directory.New(directory.Options{Self: n.self, Now: n.Now, Local: n.local.Load, Want: n.want, Draw: draw})
 	return adminapi.New(adminapi.Options{
-		Self:    n.self,
-		Now:     n.Now,
-		Local:   n.local.Load,
-		Operate: n.operate,
-
+		Self:      n.self,
+		Now:       n.Now,
+		Local:     n.local.Load,
+		Operate:   n.operate,
 		Documents: n.documents,
-
-		Stats:   s.executor.Stats,
-		Replica: s.replica.Status,
-		Disk:    n.diskState,
-		Match:   finder,
+		Stats:     s.executor.Stats,
+		Replica:   s.replica.Status,
+		Disk:      n.diskState,
+		Match:     finder,
 	})
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -130,14 +130,13 @@
 func (n *Node) start(ctx context.Context, openFolder func(path string) (Folder, error), platform *Platform) error {
 	n.self = newSelf(n.settings)
 	options := controlplane.Options{
-		Self:   n.self,
-		Seeds:  n.settings.Seeds,
-		Draw:   draw,
-		Log:    n.log.With("part", "control"),
-		Rejoin: n.settings.Rejoin,
-		Epoch:  n.begun.Add(-clockStart),
-		Routes: n.service.routed(),
-
+		Self:            n.self,
+		Seeds:           n.settings.Seeds,
+		Draw:            draw,
+		Log:             n.log.With("part", "control"),
+		Rejoin:          n.settings.Rejoin,
+		Epoch:           n.begun.Add(-clockStart),
+		Routes:          n.service.routed(),
 		TellsFirstStart: platform != nil && platform.TellsFirstStart,
 	}
 	if n.self.Disk {
--- a/internal/node/route_service.go
+++ b/internal/node/route_service.go
@@ -110,28 +110,24 @@
 func (s *routeService) outside() *Outside {
 	n := s.node
 	options := adminapi.Options{
-		Self:    n.self,
-		Now:     n.Now,
-		Local:   n.local.Load,
-		Operate: n.operate,
-
+		Self:      n.self,
+		Now:       n.Now,
+		Local:     n.local.Load,
+		Operate:   n.operate,
 		Documents: n.documents,
-
-		Stats:   s.gateway.Stats,
-		Resting: func() []string { return s.gateway.Loads().Failing(n.Now()) },
-		Disk:    n.diskState,
-		Routed:  &adminapi.Routed{Resolve: s.resolve, IsReady: s.isReady},
+		Stats:     s.gateway.Stats,
+		Resting:   func() []string { return s.gateway.Loads().Failing(n.Now()) },
+		Disk:      n.diskState,
+		Routed:    &adminapi.Routed{Resolve: s.resolve, IsReady: s.isReady},
 	}
 	return &Outside{
-		Requests: s.gateway,
-		Operate:  n.operate,
-
+		Requests:  s.gateway,
+		Operate:   n.operate,
 		Documents: n.documents,
-
-		Resolve: s.resolve,
-		IsReady: s.isReady,
-		Admin:   adminapi.New(options),
-		Insight: adminapi.NewInsight(options),
+		Resolve:   s.resolve,
+		IsReady:   s.isReady,
+		Admin:     adminapi.New(options),
+		Insight:   adminapi.NewInsight(options),
 	}
 }
 
