--- a/cmd/testfleet/starts.go
+++ b/cmd/testfleet/starts.go
@@ -120,6 +120,8 @@
 		}
 		fmt.Println("data and logs are in", folder)
 	}()
+	callers := newStartsCallers(ctx, f)
+	defer callers.stop()
 	s := &startsPlay{fleet: f, random: rand.New(rand.NewSource(seed))}
 	if err := s.firstStart(ctx); err != nil {
 		return nil, err
@@ -131,7 +133,7 @@
 		return nil, err
 	}
 	s.fleet.checkMemory()
-	fmt.Printf("starts seed %d: %d machines, %d processes, %d faults (%s), %d configurations acknowledged, first one after %v, slowest recovery %v\n", seed,
-		len(f.machines), f.processCount(), s.faults, s.kinds(), s.version, s.firstAcknowledged.Round(time.Millisecond), s.slowestRecovery.Round(time.Millisecond))
+	fmt.Printf("starts seed %d: %d machines, %d processes, %d faults (%s), %d configurations acknowledged, %d callers answered, first one after %v, slowest recovery %v\n", seed,
+		len(f.machines), f.processCount(), s.faults, s.kinds(), s.version, callers.stop(), s.firstAcknowledged.Round(time.Millisecond), s.slowestRecovery.Round(time.Millisecond))
 	return f.allViolations(), nil
 }
--- a/cmd/testfleet/starts_templates.go
+++ b/cmd/testfleet/starts_templates.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"embed"
 	"encoding/json"
+	"net/http"
 	"strings"
 	"text/template"
 )
@@ -39,6 +40,19 @@
 	return strings.TrimSpace(string(fill("environment.tmpl", settings)))
 }
 
+// platformHeaders are those of a request whose attempt has an id.
+func platformHeaders(attempt string) http.Header {
+	var values map[string]string
+	if err := json.Unmarshal(fill("headers.json.tmpl", attempt), &values); err != nil {
+		panic(err)
+	}
+	header := http.Header{}
+	for name, value := range values {
+		header.Set(name, value)
+	}
+	return header
+}
+
 // jsonText is a value as JSON.
 func jsonText(value any) string {
 	text, err := json.Marshal(value)
