--- a/internal/bootstrap/bootstrap.go
+++ b/internal/bootstrap/bootstrap.go
@@ -83,12 +83,12 @@
 	askedAt time.Duration
 	turn    int
 	answers map[string]answer
-	// seats are what the seeds said about themselves, by address.
-	seats map[string]seat
-	// isCountedOn says that another seed may have been told that this node is an initial voter, isReplaced that this node bears the
+	// seedFacts are what the seeds said about themselves, by address.
+	seedFacts map[string]seedFact
+	// isCountedOn says that another seed may have been told that this node is an initial voter, hasLostDisk that this node bears the
 	// identity of an initial voter whose disk is lost.
 	isCountedOn bool
-	isReplaced  bool
+	hasLostDisk bool
 	// hasFounded says that this node has given the first record of the log.
 	hasFounded bool
 	// emptySince is since when all other seeds have said that they have no system; 0 is not now.
@@ -104,7 +104,7 @@
 
 // New makes a Machine that has the system of its options and has asked nobody yet.
 func New(options Options, peers Peers, fleet Fleet) *Machine {
-	m := &Machine{options: options, peers: peers, fleet: fleet, system: options.System, answers: map[string]answer{}, seats: map[string]seat{}}
+	m := &Machine{options: options, peers: peers, fleet: fleet, system: options.System, answers: map[string]answer{}, seedFacts: map[string]seedFact{}}
 	if initial := options.InitialCluster; initial != nil {
 		m.isCountedOn = initial.IsFromEarlierProcess
 	}
@@ -173,7 +173,7 @@
 // TakeAnswer notes what an asked node said, and joins its system if this node has none.
 func (m *Machine) TakeAnswer(now time.Duration, from string, response *schema.DiscoverResponse) {
 	m.answers[from] = answer{at: now, hasSystem: response.System != "", hasDisk: response.Disk}
-	m.noteSeat(from, response)
+	m.noteSeed(from, response)
 	if m.options.MixedSeeds && response.Founder != "" && from == slices.Min(m.options.Seeds) {
 		m.founder = response.Founder
 	}
--- a/internal/bootstrap/initial_cluster.go
+++ b/internal/bootstrap/initial_cluster.go
@@ -36,9 +36,9 @@
 	return hex.EncodeToString(sum[:memberIDBytes])
 }
 
-// seat is what a seed said about itself that stays true: whether it has a disk, and whether its program bootstraps the initial voters
+// seedFact is what a seed said about itself that stays true: whether it has a disk, and whether its program bootstraps the initial voters
 // together.
-type seat struct {
+type seedFact struct {
 	hasDisk   bool
 	isEarlier bool
 }
@@ -55,9 +55,9 @@
 	}
 }
 
-// noteSeat keeps what a seed said about itself.
-func (m *Machine) noteSeat(from string, response *schema.DiscoverResponse) {
-	m.seats[from] = seat{
+// noteSeed keeps what a seed said about itself.
+func (m *Machine) noteSeed(from string, response *schema.DiscoverResponse) {
+	m.seedFacts[from] = seedFact{
 		hasDisk:   response.Disk,
 		isEarlier: response.InitialMembership == schema.InitialMembership_INITIAL_MEMBERSHIP_UNKNOWN,
 	}
@@ -76,7 +76,7 @@
 	seeds := m.options.InitialCluster.Seeds
 	for _, address := range slices.Sorted(slices.Values(seeds)) {
 		isSelf := address == m.options.Self.Address
-		other, hasAnswered := m.seats[address]
+		other, hasAnswered := m.seedFacts[address]
 		if !isSelf && !hasAnswered {
 			return nil, false, false
 		}
@@ -92,7 +92,7 @@
 // where this node must not take part.
 func (m *Machine) foundTogether(now time.Duration) *schema.Record {
 	voters, isKnown, hasEarlier := m.initialVoters()
-	if !isKnown || m.isReplaced {
+	if !isKnown || m.hasLostDisk {
 		return nil
 	}
 	if hasEarlier {
@@ -110,17 +110,17 @@
 	if initial == nil || system != InitialSystem(initial.Seeds) {
 		return true
 	}
-	m.noteReplaced()
+	m.noteLostDisk()
 	return false
 }
 
-// noteReplaced notes that the system runs although nobody was told of this process: the disk that held this voter's promises is lost,
+// noteLostDisk notes that the system runs although nobody was told of this process: the disk that held this voter's promises is lost,
 // and whoever bears its identity without them could vote twice.
-func (m *Machine) noteReplaced() {
-	if m.isCountedOn || m.isReplaced {
+func (m *Machine) noteLostDisk() {
+	if m.isCountedOn || m.hasLostDisk {
 		return
 	}
-	m.isReplaced = true
+	m.hasLostDisk = true
 	m.options.Log.Error("the disk is empty, but this machine is an initial voter of a running system; say in its settings that this is no first start",
 		"system", InitialSystem(m.options.InitialCluster.Seeds))
 }
@@ -131,8 +131,8 @@
 	if m.system != "" || initial == nil || system != InitialSystem(initial.Seeds) {
 		return
 	}
-	m.noteReplaced()
-	if !m.isReplaced {
+	m.noteLostDisk()
+	if !m.hasLostDisk {
 		m.join(system)
 	}
 }
