Read once more: one spawner, one loop over seeds, one retry of a start's steps

Now: spawner, playSeeds, platformMachine.newest, startup.Wait. A process that is told to stop while it waits for its settings ends with 0, as in all other waits (2 before). A process that still runs after its grace is reported with the kernel's state and its last line.

--- a/cmd/testfleet/fleet.go
+++ b/cmd/testfleet/fleet.go
@@ -89,8 +89,7 @@
 	machines []*Machine
 	// faultyDiskProgram, where it is set, runs the machines with a disk: this program's machine command.
 	faultyDiskProgram string
-	spawner           sync.Once
-	spawns            chan func()
+	spawner           spawner
 }
 
 // newFleet makes the machines and their relays and starts no process.
--- a/cmd/testfleet/process.go
+++ b/cmd/testfleet/process.go
@@ -7,7 +7,6 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"runtime"
 	"syscall"
 	"time"
 
@@ -80,7 +79,7 @@
 	}
 	command.Stderr, command.Stdout = log, log
 	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-	if err := f.spawn(command); err != nil {
+	if err := f.spawner.start(command); err != nil {
 		return errors.Join(err, log.Close())
 	}
 	m.lock.Lock()
@@ -96,23 +95,6 @@
 	return nil
 }
 
-// spawn starts a process from the one thread that lives as long as this program: Pdeathsig kills a process when the
-// thread that started it ends.
-func (f *Fleet) spawn(command *exec.Cmd) error {
-	f.spawner.Do(func() {
-		f.spawns = make(chan func())
-		go func() {
-			runtime.LockOSThread()
-			for spawn := range f.spawns {
-				spawn()
-			}
-		}()
-	})
-	result := make(chan error)
-	f.spawns <- func() { result <- command.Start() }
-	return <-result
-}
-
 // signal sends a signal to a machine's process, if it was ever started.
 func (f *Fleet) signal(m *Machine, signal syscall.Signal) error {
 	m.lock.Lock()
--- a/cmd/testfleet/soak.go
+++ b/cmd/testfleet/soak.go
@@ -2,13 +2,10 @@
 
 import (
 	"context"
-	"errors"
 	"flag"
 	"fmt"
 	"math/rand"
 	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"github.com/google/subcommands"
@@ -59,46 +56,23 @@
 	flags.IntVar(&o.more, "more", 0, "machines without a disk in each zone beyond the usual 15 in all, from 0 to 30")
 }
 
-// maxStorms bounds a soak of one seed, maxMore the further machines of each zone.
-const (
-	maxStorms = 100
-	maxMore   = 30
-)
+// maxStorms bounds a soak of one seed.
+const maxStorms = 100
 
 func (c *soakCommand) Execute(ctx context.Context, flags *flag.FlagSet, _ ...any) subcommands.ExitStatus {
 	seeds, err := readSeeds(c.options.seeds)
-	if c.options.storms < 1 || c.options.storms > maxStorms {
-		err = errors.Join(err, fmt.Errorf("-storms %d is not from 1 to %d; give one that is", c.options.storms, maxStorms))
-	}
-	if c.options.more < 0 || c.options.more > maxMore {
-		err = errors.Join(err, fmt.Errorf("-more %d is not from 0 to %d; give one that is", c.options.more, maxMore))
-	}
-	if err != nil || flags.NArg() > 0 {
-		fmt.Fprintln(os.Stderr, errors.Join(err, flagsOnly(flags.Args())))
+	if err := flagFaults(flags.Args(), err, c.checkStorms(), checkMore(c.options.more)); err != nil {
+		fmt.Fprintln(os.Stderr, err)
 		return subcommands.ExitUsageError
 	}
-	ctx, cancel := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
-	defer cancel()
-	status := subcommands.ExitSuccess
-	for seed := seeds.first; seed <= seeds.last && ctx.Err() == nil; seed++ {
-		violations, err := c.play(ctx, seed)
-		if err != nil {
-			violations = append(violations, err.Error())
-		}
-		for _, text := range violations {
-			fmt.Printf("BROKEN: soak seed %d: %s\n", seed, text)
-			status = subcommands.ExitFailure
-		}
-	}
-	return status
+	return playSeeds(ctx, c.Name(), seeds, c.play)
 }
 
-// flagsOnly is an error if there are arguments beside flags.
-func flagsOnly(arguments []string) error {
-	if len(arguments) == 0 {
-		return nil
+func (c *soakCommand) checkStorms() error {
+	if c.options.storms < 1 || c.options.storms > maxStorms {
+		return fmt.Errorf("-storms %d is not from 1 to %d; give one that is", c.options.storms, maxStorms)
 	}
-	return fmt.Errorf("arguments %q are not known; give only flags", arguments)
+	return nil
 }
 
 // play plays one seed's storms on a new fleet and gives what was broken.
--- a/cmd/testfleet/starts.go
+++ b/cmd/testfleet/starts.go
@@ -2,14 +2,12 @@
 
 import (
 	"context"
-	"errors"
 	"flag"
 	"fmt"
 	"math/rand"
 	"os"
-	"os/signal"
 	"path/filepath"
-	"syscall"
+	"slices"
 	"time"
 
 	"github.com/google/subcommands"
@@ -47,7 +45,7 @@
 }
 
 func (*startsCommand) Usage() string {
-	return "starts [-program FILE] [-folder DIR] [-seeds N-M] [-more N]; each seed is a new fleet of real processes on the users' platform\n"
+	return "starts [-program FILE] [-folder DIR] [-seeds N-M] [-more N] [-net N]; each seed is a new fleet of real processes on the users' platform\n"
 }
 
 func (c *startsCommand) SetFlags(flags *flag.FlagSet) {
@@ -61,34 +59,27 @@
 
 func (c *startsCommand) Execute(ctx context.Context, flags *flag.FlagSet, _ ...any) subcommands.ExitStatus {
 	seeds, err := readSeeds(c.options.seeds)
-	if c.options.more < 0 || c.options.more > maxMore {
-		err = errors.Join(err, fmt.Errorf("-more %d is not from 0 to %d; give one that is", c.options.more, maxMore))
+	if err := flagFaults(flags.Args(), err, checkMore(c.options.more), c.checkNet()); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return subcommands.ExitUsageError
 	}
+	return playSeeds(ctx, c.Name(), seeds, c.play)
+}
+
+func (c *startsCommand) checkNet() error {
 	if c.options.net < minNet || c.options.net > maxNet {
-		err = errors.Join(err, fmt.Errorf("-net %d is not from %d to %d; give one that is", c.options.net, minNet, maxNet))
-	}
-	if err != nil || flags.NArg() > 0 {
-		fmt.Fprintln(os.Stderr, errors.Join(err, flagsOnly(flags.Args())))
-		return subcommands.ExitUsageError
+		return fmt.Errorf("-net %d is not from %d to %d; give one that is", c.options.net, minNet, maxNet)
 	}
-	ctx, cancel := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
-	defer cancel()
-	status := subcommands.ExitSuccess
-	for seed := seeds.first; seed <= seeds.last && ctx.Err() == nil; seed++ {
-		violations, err := c.play(ctx, seed)
-		if err != nil {
-			violations = append(violations, err.Error())
-		}
-		for i, text := range violations {
-			status = subcommands.ExitFailure
-			if i == maxPrintedViolations {
-				fmt.Printf("BROKEN: starts seed %d: %d more\n", seed, len(violations)-i)
-				break
-			}
-			fmt.Printf("BROKEN: starts seed %d: %s\n", seed, text)
-		}
+	return nil
+}
+
+// shortened leaves out what is beyond maxPrintedViolations, and says how much that is: a process that ends by itself again and again.
+func shortened(violations []string) []string {
+	if len(violations) <= maxPrintedViolations {
+		return violations
 	}
-	return status
+	left := fmt.Sprintf("%d more", len(violations)-maxPrintedViolations)
+	return append(slices.Clone(violations[:maxPrintedViolations]), left)
 }
 
 // play plays one seed on a new fleet and gives what was broken.
@@ -135,5 +126,5 @@
 	s.fleet.checkMemory()
 	fmt.Printf("starts seed %d: %d machines, %d processes, %d faults (%s), %d configurations acknowledged, %d callers answered, first one after %v, slowest recovery %v\n", seed,
 		len(f.machines), f.processCount(), s.faults, s.kinds(), s.version, callers.stop(), s.firstAcknowledged.Round(time.Millisecond), s.slowestRecovery.Round(time.Millisecond))
-	return f.allViolations(), nil
+	return shortened(f.allViolations()), nil
 }
--- a/cmd/testfleet/starts_fleet.go
+++ b/cmd/testfleet/starts_fleet.go
@@ -45,7 +45,14 @@
 
 func (m *platformMachine) at(port int) string { return m.ip + ":" + strconv.Itoa(port) }
 
-// platformProcess is one process. lock guards isMeant, which says that the rig ends it, and isGone.
+// newest is the machine's newest process, or nil.
+func (m *platformMachine) newest() *platformProcess {
+	m.lock.Lock()
+	defer m.lock.Unlock()
+	return m.current
+}
+
+// platformProcess is one process. lock guards isMeant, which says that the rig ends it.
 type platformProcess struct {
 	command *exec.Cmd
 	begun   time.Time
@@ -83,7 +90,7 @@
 	processes  []*platformProcess
 	violations []string
 	isClosed   bool
-	spawner    Fleet
+	spawner    spawner
 }
 
 // newPlatformFleet makes the machines and starts the list, and no process. Each zone has one machine with a disk; the first two have two
@@ -184,7 +191,7 @@
 	command.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), environmentOf(settings)}
 	command.Stdout, command.Stderr = log, log
 	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-	if err := f.spawner.spawn(command); err != nil {
+	if err := f.spawner.start(command); err != nil {
 		return nil, err
 	}
 	process := &platformProcess{command: command, begun: time.Now(), logPath: logPath, ended: make(chan struct{})}
@@ -202,10 +209,7 @@
 	f.reportViolation("%s ended by itself %v after its start: %v, %s", m.name, time.Since(process.begun).Round(time.Millisecond),
 		process.command.ProcessState, lastLine(process.logPath))
 	time.Sleep(supervisorPause)
-	m.lock.Lock()
-	isNewest := m.current == process
-	m.lock.Unlock()
-	if isNewest {
+	if m.newest() == process {
 		f.start(m, false)
 	}
 }
@@ -222,19 +226,14 @@
 
 // kill ends a machine's newest process at once, and does not wait for that.
 func (f *platformFleet) kill(m *platformMachine) {
-	m.lock.Lock()
-	defer m.lock.Unlock()
-	if m.current != nil {
-		m.current.signal(syscall.SIGKILL, true)
+	if process := m.newest(); process != nil {
+		process.signal(syscall.SIGKILL, true)
 	}
 }
 
 // stop tells a machine's newest process to end, and checks that it does so in time.
 func (f *platformFleet) stop(m *platformMachine) {
-	m.lock.Lock()
-	process := m.current
-	m.lock.Unlock()
-	if process != nil {
+	if process := m.newest(); process != nil {
 		f.stopProcess(m, process)
 	}
 }
@@ -246,37 +245,38 @@
 		select {
 		case <-process.ended:
 		case <-time.After(stopGrace + time.Second):
-			f.reportViolation("%s still runs %v after SIGTERM", m.name, stopGrace+time.Second)
+			state := processStatus(process.command.Process.Pid, "State:")
+			f.reportViolation("%s still runs %v after SIGTERM, state %q, %s", m.name, stopGrace+time.Second, state, lastLine(process.logPath))
 			process.signal(syscall.SIGKILL, true)
 		}
 	}()
 }
 
-// wipe kills a machine and empties its disk once the process is gone.
-func (f *platformFleet) wipe(m *platformMachine) error {
-	f.kill(m)
-	m.lock.Lock()
-	process := m.current
-	m.lock.Unlock()
-	if process != nil {
+// killAndWait ends a machine's newest process and waits until it is gone.
+func (f *platformFleet) killAndWait(m *platformMachine) {
+	if process := m.newest(); process != nil {
+		process.signal(syscall.SIGKILL, true)
 		<-process.ended
 	}
+}
+
+// wipe kills a machine and empties its disk once the process is gone.
+func (f *platformFleet) wipe(m *platformMachine) error {
+	f.killAndWait(m)
 	return os.RemoveAll(f.dataFolder(m))
 }
 
 // hangUp tells a machine's newest process that its settings have changed.
 func (f *platformFleet) hangUp(m *platformMachine) {
-	m.lock.Lock()
-	defer m.lock.Unlock()
-	if m.current != nil {
-		m.current.signal(syscall.SIGHUP, false)
+	if process := m.newest(); process != nil {
+		process.signal(syscall.SIGHUP, false)
 	}
 }
 
 // checkMemory holds that no process that runs has used more memory than it may.
 func (f *platformFleet) checkMemory() {
 	for _, m := range f.machines {
-		if used := peakMemory(m.current.command.Process.Pid); used > platformMemory {
+		if used := peakMemory(m.newest().command.Process.Pid); used > platformMemory {
 			f.reportViolation("%s used %d MB; %d are allowed", m.name, used, platformMemory)
 		}
 	}
@@ -284,17 +284,23 @@
 
 // peakMemory is the most memory that a process has used, in megabytes; 0 if that is not known.
 func peakMemory(pid int) int {
+	kilobytes, _, _ := strings.Cut(processStatus(pid, "VmHWM:"), " ")
+	count, _ := strconv.Atoi(kilobytes)
+	return count >> 10
+}
+
+// processStatus is what the kernel tells of a process under a name; empty if that is not known.
+func processStatus(pid int, name string) string {
 	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
 	if err != nil {
-		return 0
+		return ""
 	}
 	for line := range strings.Lines(string(text)) {
-		if fields := strings.Fields(line); len(fields) == 3 && fields[0] == "VmHWM:" {
-			kilobytes, _ := strconv.Atoi(fields[1])
-			return kilobytes >> 10
+		if value, isFound := strings.CutPrefix(line, name); isFound {
+			return strings.TrimSpace(value)
 		}
 	}
-	return 0
+	return ""
 }
 
 func (f *platformFleet) reportViolation(format string, arguments ...any) {
--- a/cmd/testfleet/starts_play.go
+++ b/cmd/testfleet/starts_play.go
@@ -95,9 +95,7 @@
 // startBeside starts a machine's next process while the former one still runs and is told to stop only later.
 func (s *startsPlay) startBeside() {
 	m := s.someMachine()
-	m.lock.Lock()
-	former := m.current
-	m.lock.Unlock()
+	former := m.newest()
 	s.startLater(m, 0)
 	if former == nil {
 		return
@@ -125,10 +123,7 @@
 // keepPortBusy kills a machine and has something else listen on its first inner port for a while after its next start.
 func (s *startsPlay) keepPortBusy() {
 	m := s.someMachine()
-	s.fleet.kill(m)
-	if m.current != nil {
-		<-m.current.ended
-	}
+	s.fleet.killAndWait(m)
 	if listener, err := net.Listen("tcp", m.at(platformInnerFirst)); err == nil {
 		time.AfterFunc(time.Duration(100+s.random.Intn(400))*time.Millisecond, func() { listener.Close() })
 	}
--- a/cmd/testfleet/starts_test.go
+++ b/cmd/testfleet/starts_test.go
@@ -93,3 +93,23 @@
 		}
 	}
 }
+
+// A check that can't fail is none: the memory of a process that runs is known.
+func TestStartsKnowsTheMemoryOfAProcess(t *testing.T) {
+	if peakMemory(os.Getpid()) == 0 {
+		t.Error("the memory of this process is not known")
+	}
+	if used := peakMemory(-1); used != 0 {
+		t.Errorf("no process used %d MB", used)
+	}
+}
+
+func TestStartsShortensWhatItPrints(t *testing.T) {
+	violations := make([]string, maxPrintedViolations+2)
+	if got := shortened(violations); len(got) != maxPrintedViolations+1 || got[maxPrintedViolations] != "2 more" {
+		t.Errorf("%q", got)
+	}
+	if got := shortened(violations[:maxPrintedViolations]); len(got) != maxPrintedViolations {
+		t.Errorf("%q", got)
+	}
+}
--- a/cmd/topazshed/platform.go
+++ b/cmd/topazshed/platform.go
@@ -46,6 +46,9 @@
 		file, own, bounds, err = platform.Read()
 		return err
 	})
+	if isStopped(ctx, err) {
+		return subcommands.ExitSuccess
+	}
 	if err != nil {
 		return exit(err)
 	}
@@ -54,7 +57,7 @@
 	}
 	debug.SetGCPercent(constants.GarbagePercent)
 	options := node.Options{Settings: own, Log: log, OpenFolder: node.OpenFolder, Platform: platform.NewPlatform(file, bounds)}
-	return runNode(ctx, cancel, options, func(ctx context.Context, n *node.Node) {
+	return runNode(ctx, options, func(ctx context.Context, n *node.Node) {
 		followSettings(ctx, log, signals.hangups, n)
 	})
 }
--- a/cmd/topazshed/run_node.go
+++ b/cmd/topazshed/run_node.go
@@ -7,13 +7,13 @@
 	"os"
 	"slices"
 	"sync"
-	"time"
 
 	"github.com/google/subcommands"
 
 	"topazshed/internal/constants"
 	"topazshed/internal/node"
 	"topazshed/internal/settings"
+	"topazshed/internal/startup"
 )
 
 // newLog gives a node's log, and a function that hands on what is left of it at the process's end.
@@ -22,11 +22,12 @@
 	return slog.New(slog.NewJSONHandler(writer, &slog.HandlerOptions{Level: level})), writer.flush
 }
 
-// runNode runs a process until it is told to stop by a signal or ctx. Meanwhile follow runs beside it; it gets the hangup
-// signals and must return when its context ends.
-func runNode(ctx context.Context, cancel context.CancelFunc, options node.Options, follow func(context.Context, *node.Node)) subcommands.ExitStatus {
+// runNode runs a process until ctx ends. Meanwhile follow runs beside it; it must return when its context ends.
+func runNode(ctx context.Context, options node.Options, follow func(context.Context, *node.Node)) subcommands.ExitStatus {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
 	n, err := node.Start(ctx, options)
-	if ctx.Err() != nil && errors.Is(err, ctx.Err()) {
+	if isStopped(ctx, err) {
 		options.Log.Info("stopped before it had started")
 		return subcommands.ExitSuccess
 	}
@@ -46,24 +47,15 @@
 	return subcommands.ExitSuccess
 }
 
-// readWhenWhole reads settings, and reads them again for constants.SettingsWait while their file is missing or not whole, since it may
-// be being written. It ends early when ctx ends.
+// isStopped tells whether an error is that of a context that has ended: the process was told to stop meanwhile.
+func isStopped(ctx context.Context, err error) bool {
+	return ctx.Err() != nil && errors.Is(err, ctx.Err())
+}
+
+// readWhenWhole reads settings, and reads them again while their file is missing or not whole, since it may be being written.
 func readWhenWhole(ctx context.Context, log *slog.Logger, read func() error) error {
-	begun := time.Now()
-	err := read()
-	if !isFileUnreadable(err) {
-		return err
-	}
-	log.Warn("the start waits for the settings file", "reason", err.Error(), "at_most", constants.SettingsWait.String())
-	for isFileUnreadable(err) && time.Since(begun) < constants.SettingsWait {
-		select {
-		case <-ctx.Done():
-			return err
-		case <-time.After(constants.StartRetry):
-		}
-		err = read()
-	}
-	return err
+	wait := startup.Wait{Part: "settings file", AtMost: constants.SettingsWait, PassesByItself: isFileUnreadable}
+	return wait.Retry(ctx, log, read)
 }
 
 // isFileUnreadable tells whether a settings file is missing or not whole.
--- a/cmd/topazshed/serve.go
+++ b/cmd/topazshed/serve.go
@@ -40,6 +40,9 @@
 		running, err = c.read()
 		return err
 	})
+	if isStopped(ctx, err) {
+		return subcommands.ExitSuccess
+	}
 	if err != nil {
 		return exit(err)
 	}
@@ -47,7 +50,7 @@
 		return exit(&UsageError{err.Error()})
 	}
 	options := node.Options{Settings: running, Log: log, OpenFolder: node.OpenFolder}
-	return runNode(ctx, cancel, options, func(ctx context.Context, _ *node.Node) {
+	return runNode(ctx, options, func(ctx context.Context, _ *node.Node) {
 		for {
 			select {
 			case <-signals.hangups:
--- a/cmd/topazshed/settings_wait_test.go
+++ b/cmd/topazshed/settings_wait_test.go
@@ -2,12 +2,15 @@
 
 import (
 	"context"
+	"flag"
 	"log/slog"
 	"os"
 	"path/filepath"
 	"testing"
 	"time"
 
+	"github.com/google/subcommands"
+
 	"topazshed/internal/constants"
 	"topazshed/platform"
 )
@@ -51,6 +54,18 @@
 	}
 }
 
+func TestAStartThatWaitsForItsSettingsEndsWellWhenItIsToldToStop(t *testing.T) {
+	t.Setenv(platform.Variable, filepath.Join(t.TempDir(), "none.json"))
+	ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+	defer cancel()
+	command := &platformCommand{}
+	flags := flag.NewFlagSet("platform", flag.ContinueOnError)
+	command.SetFlags(flags)
+	if status := command.Execute(ctx, flags); status != subcommands.ExitSuccess {
+		t.Errorf("exit status %d", status)
+	}
+}
+
 func TestOnlyNodesTakeSignalsOfTheirOwn(t *testing.T) {
 	for _, c := range []struct {
 		arguments []string
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -107,7 +107,7 @@
 	n.disk.Store(&adminapi.Disk{Folder: n.settings.Data})
 	n.transport = newTransport(n)
 	n.service = newService(n, options.Platform)
-	if err := n.start(ctx, options.OpenFolder, options.Platform); err != nil {
+	if err := n.start(ctx, options); err != nil {
 		n.cancel()
 		return nil, errors.Join(err, n.Close())
 	}
@@ -127,7 +127,7 @@
 // Now is the process's own monotonic clock. It starts at an hour, so that no zero time is recent.
 func (n *Node) Now() time.Duration { return time.Since(n.begun) + clockStart }
 
-func (n *Node) start(ctx context.Context, openFolder func(path string) (Folder, error), platform *Platform) error {
+func (n *Node) start(ctx context.Context, given Options) error {
 	n.self = newSelf(n.settings)
 	options := controlplane.Options{
 		Self:            n.self,
@@ -137,10 +137,10 @@
 		Rejoin:          n.settings.Rejoin,
 		Epoch:           n.begun.Add(-clockStart),
 		Routes:          n.service.routed(),
-		TellsFirstStart: platform != nil && platform.TellsFirstStart,
+		TellsFirstStart: given.Platform != nil && given.Platform.TellsFirstStart,
 	}
 	if n.self.Disk {
-		if err := n.openDisk(ctx, openFolder, &options); err != nil {
+		if err := n.openDisk(ctx, given.OpenFolder, &options); err != nil {
 			return err
 		}
 	}
--- a/internal/node/start_wait.go
+++ b/internal/node/start_wait.go
@@ -4,33 +4,16 @@
 	"context"
 	"errors"
 	"syscall"
-	"time"
 
 	"topazshed/internal/constants"
 	"topazshed/internal/journal"
+	"topazshed/internal/startup"
 )
 
-// retryStart tries a step of the start again while what it needs is held by a former process of this machine or the disk is full, for
-// constants.StartWait at most. It ends early with the context's error.
+// retryStart does a step of the start, and does it again while what it needs is held by a former process of this machine or the disk is full.
 func (n *Node) retryStart(ctx context.Context, part string, step func() error) error {
-	begun := time.Now()
-	err := step()
-	if !passesByItself(err) {
-		return err
-	}
-	n.log.Warn("the start waits for what passes by itself", "part", part, "reason", err.Error(), "at_most", constants.StartWait.String())
-	for passesByItself(err) && time.Since(begun) < constants.StartWait {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-time.After(constants.StartRetry):
-		}
-		err = step()
-	}
-	if err == nil {
-		n.log.Info("the start goes on", "part", part, "milliseconds", time.Since(begun).Milliseconds())
-	}
-	return err
+	wait := startup.Wait{Part: part, AtMost: constants.StartWait, PassesByItself: passesByItself}
+	return wait.Retry(ctx, n.log, step)
 }
 
 // passesByItself tells whether an error of a step of the start can end without anyone's help: another process still has the data folder
