bootstrap: a seed of the running system that asks does not count on a voter without its disk

A voter that lost its disk and is told that it is the first start must take no part; but where a seed without a disk asked it for members of the log, it took itself for one that others count on, and could vote again without its promises. Only a node without a system can found by what it is told, so only its question counts now.

--- a/internal/bootstrap/bootstrap.go
+++ b/internal/bootstrap/bootstrap.go
@@ -159,7 +159,6 @@
 
 // Answer tells a node that asks which system this node belongs to and which nodes it should know.
 func (m *Machine) Answer(now time.Duration, request *schema.DiscoverRequest) *schema.DiscoverResponse {
-	m.noteAsked(request.GetNode().GetAddress())
 	return &schema.DiscoverResponse{
 		System:            m.system,
 		Nodes:             m.introductions(request.GetNode().GetRegion()),
--- a/internal/bootstrap/initial_cluster.go
+++ b/internal/bootstrap/initial_cluster.go
@@ -63,8 +63,9 @@
 	}
 }
 
-// noteAsked notes that a seed of the first start was told of this node's part, so that it may count on this node from now on.
-func (m *Machine) noteAsked(by string) {
+// NoteAsked notes that a node without a system asked this one: a seed of the first start may count on this node from now on. One that has a
+// system does not, since it can have founded it without this process.
+func (m *Machine) NoteAsked(by string) {
 	if m.options.InitialCluster != nil && slices.Contains(m.options.InitialCluster.Seeds, by) {
 		m.isCountedOn = true
 	}
--- a/internal/bootstrap/initial_cluster_test.go
+++ b/internal/bootstrap/initial_cluster_test.go
@@ -77,7 +77,7 @@
 // The name of a system brings no log: a voter that takes only the name could be left without any member to elect.
 func TestAnInitialVoterFoundsItsSystemInPlaceOfAdoptingIt(t *testing.T) {
 	m := newMachine(t, diskNode("b"), initialSeeds, initialVoter)
-	m.Answer(begin, &schema.DiscoverRequest{Node: diskNode("a")})
+	m.NoteAsked("a")
 	founded := voterAnswer()
 	founded.System = InitialSystem(initialSeeds)
 	m.TakeAnswer(begin, "a", founded)
--- a/internal/controlplane/first_start_test.go
+++ b/internal/controlplane/first_start_test.go
@@ -195,3 +195,34 @@
 		}
 	})
 }
+
+// Guards against a voter that lost its disk, is told that it is the first start, and votes again because a seed of the running system asked it.
+func TestAVoterWithoutItsDiskTakesNoPartWhoeverAsks(t *testing.T) {
+	testseeds.Each(t, 6, func(t *testing.T, seed int64) {
+		w := newStoppedWorld(t, seed, 6, 3, worldSizes)
+		w.tellsFirstStart = true
+		w.machines[0].isDisk = false
+		for _, m := range w.machines {
+			m.start()
+		}
+		w.run(5 * time.Second)
+		lost, asking := w.machines[1], w.machines[0]
+		if w.leader() == nil {
+			t.Fatal("no leader before the fault")
+		}
+		lost.cutPower()
+		lost.wipe()
+		lost.isFounded = false
+		lost.start()
+		asking.send(lost.name, &schema.Frame{
+			System:  asking.control.Local().System,
+			From:    "reader",
+			Address: asking.name,
+			Body:    &schema.Frame_DiscoverRequest{DiscoverRequest: &schema.DiscoverRequest{}},
+		})
+		w.run(3 * time.Second)
+		if system := lost.control.Local().System; system != "" {
+			t.Errorf("seed %d: %s takes part in %s without its disk", seed, lost.name, system)
+		}
+	})
+}
--- a/internal/controlplane/receive.go
+++ b/internal/controlplane/receive.go
@@ -21,7 +21,7 @@
 	case *schema.Frame_Raft:
 		c.receiveRaft(f, body.Raft)
 	case *schema.Frame_DiscoverRequest:
-		c.receiveDiscoverRequest(f.Address, body.DiscoverRequest)
+		c.receiveDiscoverRequest(f, body.DiscoverRequest)
 	case *schema.Frame_DiscoverResponse:
 		c.receiveDiscoverResponse(f.Address, body.DiscoverResponse)
 	case *schema.Frame_Shuffle:
@@ -101,9 +101,12 @@
 }
 
 // receiveDiscoverRequest answers a node that looks for a system.
-func (c *Machine) receiveDiscoverRequest(from string, request *schema.DiscoverRequest) {
+func (c *Machine) receiveDiscoverRequest(f *schema.Frame, request *schema.DiscoverRequest) {
 	c.peerSampler.Learn(request.Node)
-	c.answerDiscovery(from, request)
+	if f.System == "" {
+		c.bootstrap.NoteAsked(f.Address)
+	}
+	c.answerDiscovery(f.Address, request)
 }
 
 // receiveDiscoverResponse takes what another node tells of the system. A fleet whose version this program doesn't speak is not joined.
