--- a/cmd/testfleet/starts.go
+++ b/cmd/testfleet/starts.go
@@ -49,26 +49,30 @@
 }
 
 func (c *startsCommand) SetFlags(flags *flag.FlagSet) {
-	o := &c.options
+	c.options.setFlags(flags, 61)
+}
+
+// setFlags adds the flags of a fleet on the users' platform; net is the usual second byte of its addresses.
+func (o *startsOptions) setFlags(flags *flag.FlagSet, net int) {
 	flags.StringVar(&o.program, "program", "bin/topazshed", "the program to run")
 	flags.StringVar(&o.folder, "folder", "", "folder for a folder a seed with data and logs, which must not be there yet (default: a temporary one, kept after a failure)")
 	flags.StringVar(&o.seeds, "seeds", "1", "seeds of the faults: 1-50 or 7")
 	flags.IntVar(&o.more, "more", 0, "machines without a disk in each zone beyond the usual 14 in all, from 0 to 30")
-	flags.IntVar(&o.net, "net", 61, "second byte of the loopback addresses, from 60 to 120: runs beside each other need one each")
+	flags.IntVar(&o.net, "net", net, "second byte of the loopback addresses, from 60 to 120: runs beside each other need one each")
 }
 
 func (c *startsCommand) Execute(ctx context.Context, flags *flag.FlagSet, _ ...any) subcommands.ExitStatus {
 	seeds, err := readSeeds(c.options.seeds)
-	if err := flagFaults(flags.Args(), err, checkMore(c.options.more), c.checkNet()); err != nil {
+	if err := flagFaults(flags.Args(), err, checkMore(c.options.more), c.options.checkNet()); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return subcommands.ExitUsageError
 	}
 	return playSeeds(ctx, c.Name(), seeds, c.play)
 }
 
-func (c *startsCommand) checkNet() error {
-	if c.options.net < minNet || c.options.net > maxNet {
-		return fmt.Errorf("-net %d is not from %d to %d; give one that is", c.options.net, minNet, maxNet)
+func (o *startsOptions) checkNet() error {
+	if o.net < minNet || o.net > maxNet {
+		return fmt.Errorf("-net %d is not from %d to %d; give one that is", o.net, minNet, maxNet)
 	}
 	return nil
 }
@@ -82,35 +86,42 @@
 	return append(slices.Clone(violations[:maxPrintedViolations]), left)
 }
 
-// play plays one seed on a new fleet and gives what was broken.
-func (c *startsCommand) play(ctx context.Context, seed int64) (violations []string, err error) {
-	options := c.options
-	if options.program, err = filepath.Abs(options.program); err != nil {
-		return nil, err
+// openFleet makes the machines of one seed, without a process. What it gives ends them, and keeps their logs if isClean is false.
+func (o startsOptions) openFleet(seed int64) (f *platformFleet, closeFleet func(isClean bool), err error) {
+	if o.program, err = filepath.Abs(o.program); err != nil {
+		return nil, nil, err
 	}
-	if options.folder != "" {
-		options.folder = filepath.Join(options.folder, fmt.Sprintf("seed-%d", seed))
+	if o.folder != "" {
+		o.folder = filepath.Join(o.folder, fmt.Sprintf("seed-%d", seed))
 	}
-	folder, isTemporary, err := makeFolder(options.folder)
+	folder, isTemporary, err := makeFolder(o.folder)
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
 	if entries, err := os.ReadDir(folder); err != nil || len(entries) > 0 {
-		return nil, fmt.Errorf("folder %s is not empty (%v); a first start needs empty disks", folder, err)
+		return nil, nil, fmt.Errorf("folder %s is not empty (%v); a first start needs empty disks", folder, err)
 	}
-	options.folder = folder
-	f, err := newPlatformFleet(options)
-	if err != nil {
-		return nil, err
+	o.folder = folder
+	if f, err = newPlatformFleet(o); err != nil {
+		return nil, nil, err
 	}
-	defer func() {
+	return f, func(isClean bool) {
 		f.close()
-		if isTemporary && len(violations) == 0 && err == nil {
+		if isTemporary && isClean {
 			os.RemoveAll(folder)
 			return
 		}
 		fmt.Println("data and logs are in", folder)
-	}()
+	}, nil
+}
+
+// play plays one seed on a new fleet and gives what was broken.
+func (c *startsCommand) play(ctx context.Context, seed int64) (violations []string, err error) {
+	f, closeFleet, err := c.options.openFleet(seed)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { closeFleet(len(violations) == 0 && err == nil) }()
 	callers := newStartsCallers(ctx, f)
 	defer callers.stop()
 	s := &startsPlay{fleet: f, random: rand.New(rand.NewSource(seed))}
--- a/cmd/testfleet/starts_callers.go
+++ b/cmd/testfleet/starts_callers.go
@@ -12,6 +12,8 @@
 const (
 	// callerPause is the time between two requests of one caller.
 	callerPause = 20 * time.Millisecond
+	// startsWait is how long a caller says that it waits.
+	startsWait = time.Second
 	// platformFrontPort is where a machine takes callers' requests.
 	platformFrontPort = 8548
 )
@@ -47,7 +49,7 @@
 			c.fleet.reportViolation("no request for %s: %v", m.name, err)
 			return
 		}
-		request.Header = platformHeaders(fmt.Sprintf("%s-%d", m.name, number))
+		request.Header = platformHeaders(fmt.Sprintf("%s-%d", m.name, number), startsWait)
 		response, err := client.Do(request)
 		if err != nil {
 			continue
--- a/cmd/testfleet/starts_fleet.go
+++ b/cmd/testfleet/starts_fleet.go
@@ -85,6 +85,8 @@
 	machines []*platformMachine
 	seeds    []string
 	list     *http.Server
+	// backends are what the list shows; they are set before the first process starts.
+	backends []listedBackend
 
 	lock       sync.Mutex
 	processes  []*platformProcess
@@ -119,7 +121,7 @@
 	var err error
 	f.list, err = listenAndServe(f.listAddress(), http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", "application/json")
-		w.Write(fill("list.json", nil))
+		w.Write(fill("backends.json.tmpl", f.backends))
 	}))
 	return f, err
 }
--- a/cmd/testfleet/starts_templates.go
+++ b/cmd/testfleet/starts_templates.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strings"
 	"text/template"
+	"time"
 )
 
 // templateFiles are the texts in the form of the users' platform, whose names no code outside package platform knows.
@@ -26,6 +27,28 @@
 // configurationText fills a configuration.
 type configurationText struct{ Version, Base, IdleTimeout uint32 }
 
+// listedBackend is a back end as the platform's list shows it.
+type listedBackend struct{ Service, Instance, Address, Zone string }
+
+// headerNames are the names of the header fields that stand-ins read and write.
+type headerNames struct{ Attempt, Seal, Target, NotRun string }
+
+// readHeaderNames gives the platform's names.
+func readHeaderNames() headerNames {
+	var names headerNames
+	if err := json.Unmarshal(fill("names.json", nil), &names); err != nil {
+		panic(err)
+	}
+	return names
+}
+
+// requestHeaders fill the headers of a request.
+type requestHeaders struct {
+	Attempt string
+	// Wait is how long the caller says that it waits.
+	Wait time.Duration
+}
+
 // fill gives the text of a template; the templates and what fills them are this program's own.
 func fill(name string, values any) []byte {
 	var text bytes.Buffer
@@ -40,10 +63,10 @@
 	return strings.TrimSpace(string(fill("environment.tmpl", settings)))
 }
 
-// platformHeaders are those of a request whose attempt has an id.
-func platformHeaders(attempt string) http.Header {
+// platformHeaders are those of a request whose attempt has an id and whose caller waits so long.
+func platformHeaders(attempt string, wait time.Duration) http.Header {
 	var values map[string]string
-	if err := json.Unmarshal(fill("headers.json.tmpl", attempt), &values); err != nil {
+	if err := json.Unmarshal(fill("headers.json.tmpl", requestHeaders{Attempt: attempt, Wait: wait}), &values); err != nil {
 		panic(err)
 	}
 	header := http.Header{}
