--- a/internal/adminapi/metrics.go
+++ b/internal/adminapi/metrics.go
@@ -62,6 +62,9 @@
 	e.flag("leads", s.Role == roleLeader)
 	e.flag("fit", s.Fit)
 	e.counter("stray_answers_total", s.StaleResponses)
+	for _, exceeded := range s.Exceeded {
+		e.counter("responses_over_bound_total", exceeded.Count, "party", exceeded.Party, "bound", string(exceeded.Bound))
+	}
 	e.gauge("fresh_milliseconds", uint64(max(0, s.FreshMs)))
 	e.gauge("resting_back_ends", uint64(len(s.Resting)))
 	if s.ListMs >= 0 {
--- a/internal/adminapi/server.go
+++ b/internal/adminapi/server.go
@@ -14,6 +14,7 @@
 	"topazshed/internal/gateway"
 	"topazshed/internal/idempotency"
 	"topazshed/internal/proxy"
+	"topazshed/internal/responses"
 	"topazshed/internal/schema"
 )
 
@@ -34,6 +35,8 @@
 	Documents *documents.Budget
 	// Stats gives the node's counters of requests by their result.
 	Stats func() map[string]uint64
+	// Exceeded gives the node's counts of responses that exceeded a bound; nil if it counts none.
+	Exceeded func() []responses.Count
 	// Replica gives the state of the node's replica of reservations; nil in a fleet of routes.
 	Replica func() idempotency.Status
 	// Disk gives the state of the data folder; it is called only on a node with a disk.
--- a/internal/adminapi/status.go
+++ b/internal/adminapi/status.go
@@ -81,6 +81,9 @@
 		replica := s.options.Replica()
 		status.Replica = &ReplicaStatus{Reservations: replica.Reservations, Member: replica.IsMember, Number: replica.SetNumber, Ready: replica.IsReady}
 	}
+	if s.options.Exceeded != nil {
+		status.Exceeded = s.options.Exceeded()
+	}
 	if s.options.Resting != nil {
 		status.Resting = s.options.Resting()
 		slices.Sort(status.Resting)
--- a/internal/adminapi/status_types.go
+++ b/internal/adminapi/status_types.go
@@ -1,6 +1,9 @@
 package adminapi
 
-import "topazshed/internal/protocolversion"
+import (
+	"topazshed/internal/protocolversion"
+	"topazshed/internal/responses"
+)
 
 // Disk is the state of a node's data folder. LastSyncMs and WorstMs are how long the last and the longest write with its
 // sync took.
@@ -135,8 +138,10 @@
 	// Changes are the newest changes of failover assignments.
 	Changes []Change `json:"changes,omitempty"`
 	// Resting are the back ends that this node sends nothing to for a moment, since they failed it.
-	Resting []string      `json:"resting,omitempty"`
-	Routed  *RoutedStatus `json:"routed,omitempty"`
+	Resting []string `json:"resting,omitempty"`
+	// Exceeded counts the responses of back ends, proxies and the platform that exceeded a bound.
+	Exceeded []responses.Count `json:"responses_over_bound,omitempty"`
+	Routed   *RoutedStatus     `json:"routed,omitempty"`
 }
 
 // Change is one change of a failover assignment, as the log has it.
--- /dev/null
+++ b/internal/constants/responses.go
@@ -0,0 +1,17 @@
+package constants
+
+import "time"
+
+// Responses of back ends, other proxies and the platform (internal/responses).
+const (
+	// ResponseHead (bytes) of one response are read at most, those of interim responses before it counted in.
+	ResponseHead = 32 << 10
+	// ResponseFields (fields) of one response: a field takes many times its bytes once it is parsed.
+	ResponseFields = 128
+	// InterimResponses (responses) come before one response at most.
+	InterimResponses = 8
+	// TalliedParties (counts) are kept apart; a fleet whose back ends come and go names ever new ones.
+	TalliedParties = 256
+	// TallyLogEvery is the least time between two log lines about responses that exceed a bound.
+	TallyLogEvery = time.Second
+)
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -67,6 +67,7 @@
 		a.end(ctx, false)
 		return e.bodyFailed(err)
 	}
+	e.conn.reader.OnExceeded(func(err error) { e.gateway.options.Responses.Note(a.instance, err) })
 	answer, isReusable, err := e.exchange.read(e.conn)
 	if err != nil {
 		return e.unanswered(ctx, &a, order, err, writeErr)
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -20,12 +20,17 @@
 	Reason string
 	// IsUnbegun says that the connection ended before a byte of the response came.
 	IsUnbegun bool
+	// Cause is the error of the connection, or nil.
+	Cause error
 }
 
 func (e *BrokenError) Error() string {
 	return e.Reason + "; another back end may serve what may be repeated"
 }
 
+// Unwrap gives the error of the connection.
+func (e *BrokenError) Unwrap() error { return e.Cause }
+
 // exchange is one caller's request as it is written to back ends, once an attempt, and the responses that are read to it.
 type exchange struct {
 	names   Names
@@ -145,19 +150,16 @@
 func (x *exchange) read(conn *Conn) (answer *Answer, isReusable bool, err error) {
 	if _, err := conn.reader.Peek(1); err != nil {
 		isUnbegun := err == io.EOF || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
-		return nil, false, &BrokenError{Reason: "no answer: " + err.Error(), IsUnbegun: isUnbegun}
+		return nil, false, &BrokenError{Reason: "no answer: " + err.Error(), IsUnbegun: isUnbegun, Cause: err}
 	}
 	for skipped := 0; ; {
-		response, err := http.ReadResponse(conn.reader, x.request)
+		response, err := conn.reader.Next(x.request)
 		if err != nil {
-			return nil, false, &BrokenError{Reason: "no answer: " + err.Error()}
-		}
-		if response.StatusCode < http.StatusOK {
-			continue
+			return nil, false, &BrokenError{Reason: "no answer: " + err.Error(), Cause: err}
 		}
 		kept, isLonger, err := forwarding.ReadUpTo(response.Body, constants.KeepAnswer)
 		if err != nil {
-			return nil, false, &BrokenError{Reason: "the answer was cut short: " + err.Error()}
+			return nil, false, &BrokenError{Reason: "the answer was cut short: " + err.Error(), Cause: err}
 		}
 		isLast := response.Close || hasNoLength(response)
 		if response.Header.Get(x.names.Attempt) != x.id {
--- a/internal/gateway/fuzz_test.go
+++ b/internal/gateway/fuzz_test.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"bufio"
 	"bytes"
 	"errors"
 	"io"
@@ -11,6 +10,7 @@
 	"time"
 
 	"topazshed/internal/constants"
+	"topazshed/internal/responses"
 )
 
 // recorded is a connection on which a back end says what was recorded and then ends it.
@@ -52,7 +52,7 @@
 		}
 		x := &exchange{names: Names{Attempt: "Attempt-Id", NotRun: "Not-Executed"}, request: request, id: id}
 		source := recorded{said: bytes.NewReader(said)}
-		conn := &Conn{Conn: source, reader: bufio.NewReader(source)}
+		conn := &Conn{Conn: source, reader: responses.NewReader(source, readBufferSize)}
 		answer, isReusable, err := x.read(conn)
 		if err != nil {
 			var broken *BrokenError
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -19,6 +19,7 @@
 	"time"
 
 	"topazshed/internal/controlplane"
+	"topazshed/internal/responses"
 	"topazshed/internal/schema"
 	"topazshed/internal/store"
 )
@@ -66,7 +67,9 @@
 	Listen string
 	// Capacity is how many requests may be in flight; 0 is no bound.
 	Capacity int
-	Log      *slog.Logger
+	// Responses counts the responses of back ends that exceeded a bound; nil counts nothing.
+	Responses *responses.Tally
+	Log       *slog.Logger
 }
 
 // Stats count what a gateway did since its start.
--- a/internal/gateway/pool.go
+++ b/internal/gateway/pool.go
@@ -10,6 +10,7 @@
 
 	"topazshed/internal/connpool"
 	"topazshed/internal/constants"
+	"topazshed/internal/responses"
 	"topazshed/internal/schema"
 	"topazshed/internal/sockets"
 )
@@ -23,7 +24,7 @@
 // Conn is one connection to a back end.
 type Conn struct {
 	net.Conn
-	reader *bufio.Reader
+	reader *responses.Reader
 	writer *bufio.Writer
 	// idleAt is when it was put into the pool, and lifetime how long it may stay there.
 	idleAt   time.Time
@@ -100,7 +101,7 @@
 	p.stats.Connections.Add(1)
 	return &Conn{
 		Conn:     raw,
-		reader:   bufio.NewReaderSize(raw, readBufferSize),
+		reader:   responses.NewReader(raw, readBufferSize),
 		writer:   bufio.NewWriterSize(raw, writeBufferSize),
 		lifetime: constants.IdleDefault,
 	}, nil
--- a/internal/node/entry_service.go
+++ b/internal/node/entry_service.go
@@ -191,6 +191,7 @@
 		Operate:   n.operate,
 		Documents: n.documents,
 		Stats:     s.executor.Stats,
+		Exceeded:  n.responses.Counts,
 		Replica:   s.replica.Status,
 		Disk:      n.diskState,
 		Match:     finder,
--- a/internal/node/lease_calls.go
+++ b/internal/node/lease_calls.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+
 	"topazshed/internal/leader"
 )
 
@@ -12,6 +13,7 @@
 		ctx, cancel := context.WithTimeout(n.ctx, call.Timeout)
 		defer cancel()
 		answer, err := s.platform.GrantLease(ctx, call.Call)
+		n.responses.Note(call.Instance, err)
 		if err != nil {
 			n.log.Debug("a lease call has no response", "instance", call.Instance, "reason", err.Error())
 		}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -19,6 +19,7 @@
 	"topazshed/internal/documents"
 	"topazshed/internal/journal"
 	"topazshed/internal/leader"
+	"topazshed/internal/responses"
 	"topazshed/internal/schema"
 	"topazshed/internal/settings"
 	"topazshed/internal/store"
@@ -58,7 +59,9 @@
 	local atomic.Pointer[controlplane.Local]
 	disk  atomic.Pointer[adminapi.Disk]
 
-	documents        *documents.Budget
+	documents *documents.Budget
+	// responses counts what back ends and the platform send beyond bounds.
+	responses        *responses.Tally
 	transport        *transport
 	operatorRequests sync.Map // ticket (operations.Ticket) -> chan *schema.OperatorResponse
 	servers          []*http.Server
@@ -101,6 +104,7 @@
 		commands: make(chan func(), commandQueue),
 		fatal:    make(chan error, 1),
 	}
+	n.responses = responses.NewTally(n.log)
 	n.documents = documents.NewBudget(constants.DocumentBudget, constants.DocumentWait)
 	n.ctx, n.cancel = context.WithCancel(context.Background())
 	n.local.Store(&controlplane.Local{View: store.NewView()})
--- a/internal/node/route_service.go
+++ b/internal/node/route_service.go
@@ -57,15 +57,16 @@
 func (s *routeService) start(ctx context.Context, _ bool) error {
 	n := s.node
 	s.gateway = gateway.New(gateway.Options{
-		Self:     n.self,
-		Now:      n.Now,
-		Local:    n.local.Load,
-		Draw:     rand.Int64N,
-		Names:    s.platform.Names,
-		Bounds:   s.platform.Bounds.Bounds,
-		Listen:   n.settings.Proxy,
-		Capacity: gateway.Capacity(debug.SetMemoryLimit(-1)),
-		Log:      n.log.With("part", "gateway"),
+		Self:      n.self,
+		Now:       n.Now,
+		Local:     n.local.Load,
+		Draw:      rand.Int64N,
+		Names:     s.platform.Names,
+		Bounds:    s.platform.Bounds.Bounds,
+		Listen:    n.settings.Proxy,
+		Capacity:  gateway.Capacity(debug.SetMemoryLimit(-1)),
+		Responses: n.responses,
+		Log:       n.log.With("part", "gateway"),
 	})
 	n.cleanup.push("gateway", s.gateway.Close)
 	if err := n.openNetwork(ctx); err != nil {
@@ -116,6 +117,7 @@
 		Operate:   n.operate,
 		Documents: n.documents,
 		Stats:     s.gateway.Stats,
+		Exceeded:  n.responses.Counts,
 		Resting:   func() []string { return s.gateway.Loads().Failing(n.Now()) },
 		Disk:      n.diskState,
 		Routed:    &adminapi.Routed{Resolve: s.resolve, IsReady: s.isReady},
--- a/internal/sockets/sockets.go
+++ b/internal/sockets/sockets.go
@@ -44,6 +44,14 @@
 	return context.AfterFunc(ctx, func() { conn.SetDeadline(past) })
 }
 
+// Reset closes a connection so that its other end is told at once and nothing that is on its way is read.
+func Reset(conn net.Conn) error {
+	if tcp, isTCP := conn.(*net.TCPConn); isTCP {
+		tcp.SetLinger(0)
+	}
+	return conn.Close()
+}
+
 // IsQuiet tells whether an idle connection is open and nothing has arrived on it. It reads nothing; a connection that is not TCP counts
 // as quiet.
 func IsQuiet(conn net.Conn) bool {
