--- a/cmd/testfleet/floods.go
+++ b/cmd/testfleet/floods.go
@@ -11,6 +11,8 @@
 
 	"github.com/google/subcommands"
 	"golang.org/x/sync/errgroup"
+
+	"topazshed/internal/endless"
 )
 
 const (
@@ -52,12 +54,12 @@
 	o := &c.options
 	o.startsOptions.setFlags(flags, 63)
 	flags.IntVar(&o.seconds, "seconds", 8, "seconds of floods, from 3 to 600")
-	flags.StringVar(&o.kind, "kind", "", "the only way of sending, by its name in floods_kinds.go (default: all, drawn anew for each flood)")
+	flags.StringVar(&o.kind, "kind", "", "the only way of sending, by its name in internal/endless (default: all, drawn anew for each flood)")
 }
 
 func (c *floodsCommand) Execute(ctx context.Context, flags *flag.FlagSet, _ ...any) subcommands.ExitStatus {
 	seeds, err := readSeeds(c.options.seeds)
-	kinds, kindErr := floodKindsOf(c.options.kind)
+	kinds, kindErr := endless.Named(c.options.kind)
 	if err := flagFaults(flags.Args(), err, kindErr, checkMore(c.options.more), c.options.checkNet(), c.checkSeconds()); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return subcommands.ExitUsageError
@@ -73,7 +75,7 @@
 }
 
 // play plays one seed on a new fleet and gives what was broken.
-func (c *floodsCommand) play(ctx context.Context, seed int64, kinds []floodKind) (violations []string, err error) {
+func (c *floodsCommand) play(ctx context.Context, seed int64, kinds []endless.Kind) (violations []string, err error) {
 	f, closeFleet, err := c.options.openFleet(seed)
 	if err != nil {
 		return nil, err
--- a/cmd/testfleet/floods_backends.go
+++ b/cmd/testfleet/floods_backends.go
@@ -10,6 +10,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"topazshed/internal/endless"
 )
 
 // The services of the floods: soundService has only sound back ends, floodService only faulty ones, mixedService and leaseService both.
@@ -77,7 +79,7 @@
 // floodBackends are the back ends of one run.
 type floodBackends struct {
 	names    headerNames
-	kinds    []floodKind
+	kinds    []endless.Kind
 	backends []*floodBackend
 	tasks    sync.WaitGroup
 
@@ -91,7 +93,7 @@
 }
 
 // startFloodBackends starts a back end of each service in each zone, and puts them on the fleet's list.
-func startFloodBackends(f *platformFleet, seed int64, kinds []floodKind) (*floodBackends, error) {
+func startFloodBackends(f *platformFleet, seed int64, kinds []endless.Kind) (*floodBackends, error) {
 	all := &floodBackends{names: readHeaderNames(), kinds: kinds, random: rand.New(rand.NewSource(seed)), conns: map[net.Conn]bool{}}
 	for _, service := range []string{soundService, mixedService, floodService, leaseService} {
 		for i, place := range zonePlaces {
@@ -156,7 +158,7 @@
 	delete(a.conns, conn)
 }
 
-func (a *floodBackends) draw() floodKind {
+func (a *floodBackends) draw() endless.Kind {
 	a.lock.Lock()
 	defer a.lock.Unlock()
 	a.floods++
@@ -197,37 +199,39 @@
 		if _, err := io.Copy(io.Discard, request.Body); err != nil {
 			return
 		}
-		head := answerHead{names: b.all.names, attempt: request.Header.Get(b.all.names.Attempt)}
+		names := b.all.names
+		head := endless.Head{
+			Echo: []string{names.Attempt + ": " + request.Header.Get(names.Attempt)},
+			Seal: []string{names.Seal + ": sealed"},
+		}
 		if b.isFaulty {
 			b.flood(conn, head)
 			return
 		}
 		time.Sleep(soundWork)
 		length := fmt.Sprintf("Content-Length: %d", soundBody)
-		if _, err := io.WriteString(conn, head.text(200, true, length)+strings.Repeat("s", soundBody)); err != nil {
+		if _, err := io.WriteString(conn, head.Text(http.StatusOK, true, length)+strings.Repeat("s", soundBody)); err != nil {
 			return
 		}
 	}
 }
 
 // flood sends bytes of one kind at floodRate until the other end closes the connection.
-func (b *floodBackend) flood(conn net.Conn, head answerHead) {
-	kind := b.all.draw()
-	if kind.start != nil {
-		io.WriteString(conn, kind.start(head))
-	}
+func (b *floodBackend) flood(conn net.Conn, head endless.Head) {
+	stream := b.all.draw().NewStream(head)
 	begun := time.Now()
-	block, number := kind.block(0)
 	for total := 0; ; {
+		block := stream.Next()
+		if block == nil {
+			io.Copy(io.Discard, conn)
+			return
+		}
 		sent, err := conn.Write(block)
 		total += sent
 		b.all.count(sent)
 		if err != nil {
 			return
 		}
-		if kind.isNumbered {
-			block, number = kind.block(number)
-		}
 		time.Sleep(time.Duration(float64(total)/floodRate*float64(time.Second)) - time.Since(begun))
 	}
 }
--- a/internal/gateway/front_test.go
+++ b/internal/gateway/front_test.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"topazshed/internal/controlplane"
+	"topazshed/internal/responses"
 	"topazshed/internal/schema"
 	"topazshed/internal/store"
 )
@@ -49,7 +50,7 @@
 	var lock sync.Mutex
 	begun := time.Now()
 	now := func() time.Duration { return time.Since(begun) + time.Hour }
-	g := New(Options{Self: self, Now: now, Local: func() *controlplane.Local { return local }, Names: names, Bounds: bounds, Listen: "127.0.0.1:0", Log: slog.New(slog.DiscardHandler),
+	g := New(Options{Self: self, Now: now, Local: func() *controlplane.Local { return local }, Names: names, Bounds: bounds, Listen: "127.0.0.1:0", Log: slog.New(slog.DiscardHandler), Responses: responses.NewTally(slog.New(slog.DiscardHandler)),
 		Draw: func(n int64) int64 {
 			lock.Lock()
 			defer lock.Unlock()
