gateway: the head of a response has bounds in bytes, fields and interim responses

Cause: http.ReadResponse on a bare buffer has no limit, and interim responses were skipped without a count; only the attempt's time bounded them. Now a head is counted while it is read, before it is parsed; beyond 32 KiB, 128 fields or 8 interim responses the read fails with a *responses.BoundError and the connection is reset. The attempt may have run: what is repeatable is repeated, else the caller gets 502; the back end counts as failing.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -67,8 +67,8 @@
 		a.end(ctx, false)
 		return e.bodyFailed(err)
 	}
-	e.conn.reader.OnExceeded(func(err error) { e.gateway.options.Responses.Note(a.instance, err) })
 	answer, isReusable, err := e.exchange.read(e.conn)
+	e.gateway.options.Responses.Note(a.instance, err)
 	if err != nil {
 		return e.unanswered(ctx, &a, order, err, writeErr)
 	}
--- a/internal/responses/reader.go
+++ b/internal/responses/reader.go
@@ -2,9 +2,10 @@
 
 import (
 	"bufio"
-	"io"
 	"net"
 	"net/http"
+
+	"topazshed/internal/sockets"
 )
 
 // Reader reads responses from a connection, one after the other.
@@ -17,26 +18,29 @@
 type source struct {
 	conn    net.Conn
 	scanner scanner
-	// exceeded is told of each bound that the head of a response exceeds.
-	exceeded func(error)
 }
 
-// Read reads from the connection, and notes the first bound that a head exceeds.
+// Read reads from the connection. Once a head exceeds a bound its error is a *BoundError, and the connection is reset.
 func (s *source) Read(p []byte) (int, error) {
 	n, err := s.conn.Read(p)
-	if exceeded := s.scanner.take(p[:n]); exceeded != nil {
-		s.exceeded(exceeded)
-		s.scanner.isPastHead = true
+	if exceeded := s.take(p[:n]); exceeded != nil {
+		return 0, exceeded
 	}
 	return n, err
 }
 
-// OnExceeded sets who is told when a head exceeds a bound. It is called within Next.
-func (r *Reader) OnExceeded(exceeded func(error)) { r.source.exceeded = exceeded }
+// take counts bytes that were read.
+func (s *source) take(text []byte) error {
+	exceeded := s.scanner.take(text)
+	if exceeded != nil {
+		sockets.Reset(s.conn)
+	}
+	return exceeded
+}
 
 // NewReader makes a reader with a buffer of so many bytes.
 func NewReader(conn net.Conn, bufferSize int) *Reader {
-	s := &source{conn: conn, scanner: scanner{bounds: Default(), isPastHead: true}, exceeded: func(error) {}}
+	s := &source{conn: conn, scanner: scanner{bounds: Default(), isPastHead: true}}
 	return &Reader{Reader: bufio.NewReaderSize(s, bufferSize), source: s}
 }
 
@@ -61,10 +65,5 @@
 	if err != nil {
 		return err
 	}
-	if exceeded := r.source.scanner.take(buffered); exceeded != nil {
-		r.source.exceeded(exceeded)
-	}
-	return nil
+	return r.source.take(buffered)
 }
-
-var _ io.Reader = (*source)(nil)
