responses: the bound that a head exceeded stays the reader's error

TestAHeadWithoutEndIsNamedAndCounted failed once of some runs ("fields: []"): net/http's line reader gives what came before an error as a line and asks again; the second read found the connection closed, and that error replaced the bound's. The reader keeps its *BoundError now and tells it in place of the parser's. The memory was bounded before this, too: the connection was closed.

--- a/internal/responses/reader.go
+++ b/internal/responses/reader.go
@@ -18,10 +18,15 @@
 type source struct {
 	conn    net.Conn
 	scanner scanner
+	// exceeded is the *BoundError after which the connection was reset, or nil.
+	exceeded error
 }
 
 // Read reads from the connection. Once a head exceeds a bound its error is a *BoundError, and the connection is reset.
 func (s *source) Read(p []byte) (int, error) {
+	if s.exceeded != nil {
+		return 0, s.exceeded
+	}
 	n, err := s.conn.Read(p)
 	if exceeded := s.take(p[:n]); exceeded != nil {
 		return 0, exceeded
@@ -31,11 +36,11 @@
 
 // take counts bytes that were read.
 func (s *source) take(text []byte) error {
-	exceeded := s.scanner.take(text)
-	if exceeded != nil {
+	s.exceeded = s.scanner.take(text)
+	if s.exceeded != nil {
 		sockets.Reset(s.conn)
 	}
-	return exceeded
+	return s.exceeded
 }
 
 // NewReader makes a reader with a buffer of so many bytes.
@@ -52,6 +57,10 @@
 	}
 	for {
 		response, err := http.ReadResponse(r.Reader, request)
+		if r.source.exceeded != nil {
+			// The parser may have taken what came before the bound for a malformed line.
+			return nil, r.source.exceeded
+		}
 		if err != nil || response.StatusCode >= http.StatusOK {
 			return response, err
 		}
