leasecall: heads of responses to lease calls and of the platform's list have the same bounds

Cause: http.Transport keeps up to 10 MB of each head, and the calls have no bound on the sum of these. responses.NewTransport counts a head on its connection, as the gateway's reader does, and names the bound; net/http's own limit stands behind it. With at most 256 lease calls in flight their heads take 8 MB. Of a body 64 KiB are read on, not 1 MB.

--- a/internal/constants/responses.go
+++ b/internal/constants/responses.go
@@ -10,6 +10,9 @@
 	ResponseFields = 128
 	// InterimResponses (responses) come before one response at most.
 	InterimResponses = 8
+	// LeaseResponse (bytes) of the body of a response to a lease call are read, so that its connection can be used again; nothing is
+	// kept of them.
+	LeaseResponse = 64 << 10
 	// TalliedParties (counts) are kept apart; a fleet whose back ends come and go names ever new ones.
 	TalliedParties = 256
 	// TallyLogEvery is the least time between two log lines about responses that exceed a bound.
--- a/internal/leasecall/client.go
+++ b/internal/leasecall/client.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"topazshed/internal/constants"
+	"topazshed/internal/responses"
 	"topazshed/internal/sharding"
 	"topazshed/internal/sockets"
 )
@@ -60,12 +61,12 @@
 func NewHTTPClient(dial Dial, timeout time.Duration) *http.Client {
 	return &http.Client{
 		Timeout: timeout,
-		Transport: &http.Transport{
+		Transport: responses.NewTransport(&http.Transport{
 			DialContext:         dial,
 			MaxIdleConnsPerHost: idlePerHost,
 			IdleConnTimeout:     constants.IdleDefault,
 			DisableCompression:  true,
-		},
+		}),
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 }
@@ -114,7 +115,7 @@
 		answer.Result = resultWithoutResponse(hadConnection())
 		return answer, err
 	}
-	_, err = io.Copy(io.Discard, io.LimitReader(response.Body, constants.DocumentLimit))
+	_, err = io.Copy(io.Discard, io.LimitReader(response.Body, constants.LeaseResponse))
 	err = errors.Join(err, response.Body.Close())
 	answer.Result = c.resultOf(response)
 	if answer.Result == sharding.Done {
--- a/internal/node/list_reader.go
+++ b/internal/node/list_reader.go
@@ -37,6 +37,7 @@
 		items, calls, err := r.read(ctx, r.turn)
 		took := r.node.Now() - listing.BegunAt
 		pause = max(r.shortestPause(), r.pauseAfter(calls)-took)
+		r.node.responses.Note("list", err)
 		if err != nil {
 			listing.IsComplete, listing.Reason = false, err.Error()
 		}
