--- a/cmd/testfleet/floods.go
+++ b/cmd/testfleet/floods.go
@@ -22,8 +22,8 @@
 	minFloodSeconds, maxFloodSeconds = 3, 600
 	// floodedMachines get callers of the faulty back ends; all machines have callers of the sound ones.
 	floodedMachines = 4
-	// floodCallers call the faulty back ends through one machine at the same time.
-	floodCallers = 6
+	// maxFloodCallers bounds the flag: each caller takes two descriptors of this program, and two of the machine's.
+	maxFloodCallers = 1000
 	// soundCallers call the sound back ends through one machine at the same time.
 	soundCallers = 2
 	// minSoundShare is the share of sound requests that must be served: below a quarter a kind of request is starved.
@@ -33,8 +33,8 @@
 // floodsOptions are the flags of the command floods.
 type floodsOptions struct {
 	startsOptions
-	seconds int
-	kind    string
+	seconds, callers int
+	kind             string
 }
 
 // floodsCommand runs back ends that send bytes without end beside sound ones.
@@ -47,27 +47,31 @@
 }
 
 func (*floodsCommand) Usage() string {
-	return "floods [-program FILE] [-folder DIR] [-seeds N-M] [-seconds N] [-kind NAME] [-more N] [-net N]; each seed is a new fleet of real processes on the users' platform\n"
+	return "floods [-program FILE] [-folder DIR] [-seeds N-M] [-seconds N] [-callers N] [-kind NAME] [-more N] [-net N]; each seed is a new fleet of real processes on the users' platform\n"
 }
 
 func (c *floodsCommand) SetFlags(flags *flag.FlagSet) {
 	o := &c.options
 	o.startsOptions.setFlags(flags, 63)
 	flags.IntVar(&o.seconds, "seconds", 8, "seconds of floods, from 3 to 600")
+	flags.IntVar(&o.callers, "callers", 6, "callers of the faulty back ends through each of four machines, from 1 to 1000")
 	flags.StringVar(&o.kind, "kind", "", "the only way of sending, by its name in internal/endless (default: all, drawn anew for each flood)")
 }
 
 func (c *floodsCommand) Execute(ctx context.Context, flags *flag.FlagSet, _ ...any) subcommands.ExitStatus {
 	seeds, err := readSeeds(c.options.seeds)
 	kinds, kindErr := endless.Named(c.options.kind)
-	if err := flagFaults(flags.Args(), err, kindErr, checkMore(c.options.more), c.options.checkNet(), c.checkSeconds()); err != nil {
+	if err := flagFaults(flags.Args(), err, kindErr, checkMore(c.options.more), c.options.checkNet(), c.checkSizes()); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return subcommands.ExitUsageError
 	}
 	return playSeeds(ctx, c.Name(), seeds, func(ctx context.Context, seed int64) ([]string, error) { return c.play(ctx, seed, kinds) })
 }
 
-func (c *floodsCommand) checkSeconds() error {
+func (c *floodsCommand) checkSizes() error {
+	if c.options.callers < 1 || c.options.callers > maxFloodCallers {
+		return fmt.Errorf("-callers %d is not from 1 to %d; give one that is", c.options.callers, maxFloodCallers)
+	}
 	if c.options.seconds < minFloodSeconds || c.options.seconds > maxFloodSeconds {
 		return fmt.Errorf("-seconds %d is not from %d to %d; give one that is", c.options.seconds, minFloodSeconds, maxFloodSeconds)
 	}
@@ -95,7 +99,7 @@
 		return nil, err
 	}
 	memory := watchMemory(ctx, f)
-	callers := newFloodCallers(f)
+	callers := newFloodCallers(f, c.options.callers)
 	span := time.Duration(c.options.seconds) * time.Second
 	callers.play(ctx, rand.New(rand.NewSource(seed)), span)
 	peaks := memory.stop()
--- a/cmd/testfleet/floods_callers.go
+++ b/cmd/testfleet/floods_callers.go
@@ -76,16 +76,18 @@
 }
 
 // floodCallers call the sound and the faulty back ends.
-type floodCallersRun struct {
+type floodCallers struct {
 	fleet *platformFleet
+	// perMachine call the faulty back ends through one machine at the same time.
+	perMachine int
 	// calm, amid and after count the requests of sound callers before, during and after the floods; flooded those to faulty back ends.
 	calm, amid, after, flooded callerEnds
 	// byMachine counts the sound requests amid the floods, by machine.
 	byMachine map[*platformMachine]*callerEnds
 }
 
-func newFloodCallers(f *platformFleet) *floodCallersRun {
-	r := &floodCallersRun{fleet: f, byMachine: map[*platformMachine]*callerEnds{}}
+func newFloodCallers(f *platformFleet, perMachine int) *floodCallers {
+	r := &floodCallers{fleet: f, perMachine: perMachine, byMachine: map[*platformMachine]*callerEnds{}}
 	for _, m := range f.machines {
 		r.byMachine[m] = &callerEnds{}
 	}
@@ -98,13 +100,13 @@
 }
 
 // play has sound callers before, during and after the floods.
-func (r *floodCallersRun) play(ctx context.Context, random *rand.Rand, span time.Duration) {
+func (r *floodCallers) play(ctx context.Context, random *rand.Rand, span time.Duration) {
 	r.callSound(ctx, calmTime, func(_ *platformMachine, end int) { r.calm.add(end) })
 	var floods sync.WaitGroup
 	floodCtx, cancel := context.WithTimeout(ctx, span)
 	defer cancel()
 	for _, i := range random.Perm(len(r.fleet.machines))[:floodedMachines] {
-		for number := range floodCallers {
+		for number := range r.perMachine {
 			caller := rand.New(rand.NewSource(random.Int63()))
 			floods.Go(func() { r.callFaulty(floodCtx, r.fleet.machines[i], number, caller) })
 		}
@@ -118,7 +120,7 @@
 }
 
 // callSound calls the sound service through every machine for a while.
-func (r *floodCallersRun) callSound(ctx context.Context, span time.Duration, note func(*platformMachine, int)) {
+func (r *floodCallers) callSound(ctx context.Context, span time.Duration, note func(*platformMachine, int)) {
 	ctx, cancel := context.WithTimeout(ctx, span)
 	defer cancel()
 	var callers sync.WaitGroup
@@ -139,7 +141,7 @@
 }
 
 // callFaulty calls services with faulty back ends through one machine.
-func (r *floodCallersRun) callFaulty(ctx context.Context, m *platformMachine, number int, random *rand.Rand) {
+func (r *floodCallers) callFaulty(ctx context.Context, m *platformMachine, number int, random *rand.Rand) {
 	client := newFloodClient()
 	defer client.CloseIdleConnections()
 	for serial := 0; sleep(ctx, callerPause) == nil; serial++ {
@@ -182,7 +184,7 @@
 
 // check holds that no sound caller's connection ended without an answer, that every machine went on to serve its sound callers amid the
 // floods, and that all are served after them.
-func (r *floodCallersRun) check() {
+func (r *floodCallers) check() {
 	for _, m := range r.fleet.machines {
 		ends := r.byMachine[m]
 		if count := ends.count(endBrokenOff); count > 0 {
--- a/internal/constants/process.go
+++ b/internal/constants/process.go
@@ -24,6 +24,8 @@
 	GarbagePercent = 40
 	// MemoryShare (fraction) of a machine's memory that the runtime may take before it collects harder.
 	MemoryShare = 0.6
+	// RequestHead (bytes) of a request are read at most, on every listener.
+	RequestHead = 64 << 10
 	// CallerHead is how long reading a request's header may take if the configuration says nothing.
 	CallerHead = 5 * time.Second
 	// CallerIdle is how long a caller's connection may be idle if the configuration says nothing.
--- a/internal/constants/responses.go
+++ b/internal/constants/responses.go
@@ -10,6 +10,8 @@
 	ResponseFields = 128
 	// InterimResponses (responses) come before one response at most.
 	InterimResponses = 8
+	// ParsedHead (bytes) is the most memory that a head within these bounds takes, parsed and copied for the caller.
+	ParsedHead = 128 << 10
 	// LeaseResponse (bytes) of the body of a response to a lease call are read, so that its connection can be used again; nothing is
 	// kept of them.
 	LeaseResponse = 64 << 10
--- a/internal/gateway/capacity_test.go
+++ b/internal/gateway/capacity_test.go
@@ -80,3 +80,32 @@
 		t.Errorf("afterwards status %d", last)
 	}
 }
+
+// The memory of a small machine, in bytes, and what an idle process of it takes.
+const (
+	smallMachine = 256 << 20
+	idleProcess  = 24 << 20
+)
+
+// Guards against bounds on each response without one on their sum (FAULT): what back ends may make a process keep, at its most for all
+// requests and lease calls in flight, fits the memory of a small machine.
+func TestWhatBackEndsSendFitsTheMemory(t *testing.T) {
+	const (
+		// Go keeps up to twice a body's size while it reads one of unknown length.
+		bodies = 2 * (constants.KeepBody + constants.KeepAnswer)
+		// The server's and the back end's connection have two buffers each, and io.Copy has one.
+		buffers = 2*(4<<10) + readBufferSize + writeBufferSize + 32<<10
+		// The server's two goroutines of a connection, and the one that waits for the end of the attempt.
+		stacks   = 3 * (8 << 10)
+		request  = bodies + constants.RequestHead + constants.ParsedHead + buffers + stacks
+		call     = constants.ParsedHead + 2*(4<<10) + 32<<10 + stacks
+		allCalls = 2 * constants.MaxLeaseCalls * call
+	)
+	processLimit := math.Floor(smallMachine * constants.MemoryShare)
+	capacity := int64(Capacity(int64(processLimit)))
+	total := capacity*request + allCalls + idleProcess
+	t.Logf("%d requests of %d KiB, lease calls of %d MiB and an idle process take %d MiB of %d", capacity, request>>10, allCalls>>20, total>>20, smallMachine>>20)
+	if total > smallMachine {
+		t.Error("that is more than the machine has")
+	}
+}
--- a/internal/node/listeners.go
+++ b/internal/node/listeners.go
@@ -13,9 +13,6 @@
 	"topazshed/internal/sockets"
 )
 
-// headerLimit (bytes) bounds the header of a request on every listener.
-const headerLimit = 64 << 10
-
 // ListenError says that an address could not be listened on.
 type ListenError struct {
 	// Address is what was asked for, Part what it is for.
@@ -58,7 +55,7 @@
 		Handler:           handler,
 		ReadHeaderTimeout: timeouts.header,
 		IdleTimeout:       timeouts.idle,
-		MaxHeaderBytes:    headerLimit,
+		MaxHeaderBytes:    constants.RequestHead,
 		ConnContext:       sockets.WithConn,
 		ErrorLog:          slog.NewLogLogger(n.log.With("part", part).Handler(), slog.LevelDebug),
 	}
