--- a/cmd/topazshed/run_node.go
+++ b/cmd/topazshed/run_node.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"log"
 	"log/slog"
 	"os"
 	"slices"
@@ -19,7 +20,16 @@
 // newLog gives a node's log, and a function that hands on what is left of it at the process's end.
 func newLog(level slog.Leveler) (log *slog.Logger, flush func()) {
 	writer := newLogWriter(os.Stderr)
-	return slog.New(slog.NewJSONHandler(writer, &slog.HandlerOptions{Level: level})), writer.flush
+	handler := slog.NewJSONHandler(writer, &slog.HandlerOptions{Level: level})
+	takeLibraryLog(handler)
+	return slog.New(handler), writer.flush
+}
+
+// takeLibraryLog hands on at debug level what libraries write to the standard log, past the node's log writer: net/http quotes
+// what back ends send unasked on idle connections, kilobytes a line and as often as they like.
+func takeLibraryLog(handler slog.Handler) {
+	log.SetFlags(0)
+	log.SetOutput(slog.NewLogLogger(handler, slog.LevelDebug).Writer())
 }
 
 // runNode runs a process until ctx ends. Meanwhile follow runs beside it; it must return when its context ends.
