--- a/cmd/topazshed/status_test.go
+++ b/cmd/topazshed/status_test.go
@@ -6,6 +6,7 @@
 	"testing"
 
 	"topazshed/internal/adminapi"
+	"topazshed/internal/responses"
 )
 
 func routedStatus() *adminapi.Status {
@@ -17,7 +18,7 @@
 			{Service: "nickel", Region: "xi", From: 1, To: 2, Was: "xi", Is: "region mu", Cause: "c", Index: 39, Term: 3}},
 		Routed: &adminapi.RoutedStatus{Routes: 2, Services: []adminapi.ServiceStatus{{Name: "copper", Routes: 1, Ready: 2, Cold: 1}, {Name: "nickel", Routes: 1, Ready: 1, Keyed: true}},
 			Spans: []adminapi.SpanStatus{{Service: "nickel", Last: 32767, Instance: "n-1", Fence: 7}, {Service: "nickel", First: 32768, Last: 65535, Instance: "n-2", Fence: 8, Releasing: true}}},
-		Resting: []string{"c-9"}}
+		Resting: []string{"c-9"}, Exceeded: []responses.Count{{Party: "c-9", Bound: responses.BoundFields, Count: 3}}}
 }
 
 func TestStatusExplainsItself(t *testing.T) {
@@ -34,7 +35,7 @@
 			"change   2026-05-04T12:00:00.123Z every service in mu: mu (10000) -> mu:mu-b (20002): its open districts; evidence: mu-a is emptied (new racks); by a in term 3, index 38",
 			"change   - nickel in xi: xi (1) -> region mu (2): c; evidence: none recorded; by a configuration in term 3, index 39",
 			"service  copper               routes 1, back ends ready 2 (cold 1), draining 0\n", "draining 0, keys without an owner 0",
-			"keys     nickel                   0 to 32767 held by n-1 under 7", "32768 to 65535 being released by n-2 under 8", "resting  c-9 failed this machine"}, []string{"missing", "NOT in force", "not confirmed"}},
+			"keys     nickel                   0 to 32767 held by n-1 under 7", "32768 to 65535 being released by n-2 under 8", "resting  c-9 failed this machine", "over-bound c-9: 3 responses exceeded head_fields"}, []string{"missing", "NOT in force", "not confirmed"}},
 		{"one machine is behind, one is silent", func(s *adminapi.Status) {
 			s.Nodes[0].InForce, s.Nodes[1].HeardMs, s.Unconfirmed = false, -1, []string{"mu-b"}
 		}, []string{"newest configuration NOT in force (index 40)", "not heard by this leader", "not confirmed yet by every proxy of mu-b"}, []string{", configuration in force"}},
--- a/cmd/topazshed/status_text.go
+++ b/cmd/topazshed/status_text.go
@@ -37,6 +37,9 @@
 	for _, id := range s.Resting {
 		p.line("resting  %s failed this machine and gets nothing from it for a moment", id)
 	}
+	for _, exceeded := range s.Exceeded {
+		p.line("over-bound %s: %d responses exceeded %s; see what runs at that address", cmp.Or(exceeded.Party, "others"), exceeded.Count, exceeded.Bound)
+	}
 }
 
 func (p statusPrinter) printNode(s *adminapi.Status) {
--- a/internal/adminapi/metrics_test.go
+++ b/internal/adminapi/metrics_test.go
@@ -26,7 +26,7 @@
 		}, []string{`topazshed_requests_total{outcome="sealed"} 12`, `topazshed_requests_total{outcome="declined"} 3`, `topazshed_configuration_version 4`, `topazshed_leads 1`, `topazshed_routes 1`,
 			`topazshed_machines{state="ready"} 2`, `topazshed_district_emptied{district="mu-a"} 1`, `topazshed_district_emptied{district="mu-b"} 0`, `topazshed_standing_number{region="mu",kind="region",active="mu:mu-b"} 20002`,
 			`topazshed_standing_number{region="mu",service="nickel",kind="service",active="region xi"} 20003`, `topazshed_back_ends{service="copper",state="draining"} 1`, `topazshed_back_ends_cold{service="copper"} 1`,
-			`topazshed_keys_unheld{service="nickel"} 32768`, `topazshed_resting_back_ends 2`, `topazshed_disk_worst_sync_milliseconds 80`, `topazshed_disk_fault 0`}},
+			`topazshed_keys_unheld{service="nickel"} 32768`, `topazshed_resting_back_ends 2`, `topazshed_responses_over_bound_total{party="c-9",bound="head_bytes"} 3`, `topazshed_disk_worst_sync_milliseconds 80`, `topazshed_disk_fault 0`}},
 		{"a fleet that carries entries", func() *httptest.ResponseRecorder {
 			w := httptest.NewRecorder()
 			server(nil, nil, nil).ServeHTTP(w, httptest.NewRequest("GET", "/metrics", nil))
--- a/internal/adminapi/routed_status_test.go
+++ b/internal/adminapi/routed_status_test.go
@@ -11,6 +11,7 @@
 
 	"topazshed/internal/constants"
 	"topazshed/internal/controlplane"
+	"topazshed/internal/responses"
 	"topazshed/internal/schema"
 	"topazshed/internal/store"
 )
@@ -53,7 +54,10 @@
 		},
 		Stats: func() map[string]uint64 { return map[string]uint64{"sealed": 12, "declined": 3} }, Disk: func() Disk { return Disk{LastSyncMs: 5, WorstMs: 80} },
 		Resting: func() []string { return []string{"c-9", "c-1"} },
-		Routed:  &Routed{Resolve: func(string, string) ([]string, time.Duration) { return g.proxies, 2 * time.Second }, IsReady: func() bool { return g.isReady }}}
+		Exceeded: func() []responses.Count {
+			return []responses.Count{{Party: "c-9", Bound: responses.BoundBytes, Count: 3}}
+		},
+		Routed: &Routed{Resolve: func(string, string) ([]string, time.Duration) { return g.proxies, 2 * time.Second }, IsReady: func() bool { return g.isReady }}}
 }
 
 func TestRoutedServer(t *testing.T) {
--- a/test.sh
+++ b/test.sh
@@ -36,3 +36,4 @@
 bin/testfleet routed -seconds 24 -seed 1
 bin/testfleet soak -seeds 1 -storms 2
 bin/testfleet starts -seeds 1-3
+bin/testfleet floods -seeds 1-3 -seconds 4
