Test of the log writer: the first line is with the log's reader before lines are dropped

It wrote 8,192 lines and expected line 0 to come before the word of dropped ones; on a fast machine lines were dropped before the reader's goroutine had run at all, and then the writer rightly tells first what was dropped.

--- a/cmd/topazshed/log_writer_test.go
+++ b/cmd/topazshed/log_writer_test.go
@@ -8,20 +8,26 @@
 	"time"
 )
 
-// blockedWriter is a log's reader that stands still until it is released.
+// blockedWriter is a log's reader that stands still until it is released. asked gets a value when a line reaches it.
 type blockedWriter struct {
+	asked    chan struct{}
 	released chan struct{}
 	text     strings.Builder
 }
 
+func newBlockedWriter() *blockedWriter {
+	return &blockedWriter{asked: make(chan struct{}, 3*logLines), released: make(chan struct{})}
+}
+
 func (w *blockedWriter) Write(line []byte) (int, error) {
+	w.asked <- struct{}{}
 	<-w.released
 	return w.text.Write(line)
 }
 
 // Guards against a process that stands still because nobody reads its log (FAULT, issue 42).
 func TestALogThatNobodyReadsStopsNobody(t *testing.T) {
-	reader := &blockedWriter{released: make(chan struct{})}
+	reader := newBlockedWriter()
 	writer := newLogWriter(reader)
 	written := make(chan struct{})
 	go func() {
@@ -44,10 +50,14 @@
 }
 
 func TestALogTellsHowManyLinesWereDropped(t *testing.T) {
-	reader := &blockedWriter{released: make(chan struct{})}
+	reader := newBlockedWriter()
 	writer := newLogWriter(reader)
 	for i := range 2 * logLines {
 		fmt.Fprintf(writer, "line %d\n", i)
+		if i == 0 {
+			// The first line is with the reader before any is dropped.
+			<-reader.asked
+		}
 	}
 	close(reader.released)
 	writer.flush()
