--- a/internal/controlplane/first_start_test.go
+++ b/internal/controlplane/first_start_test.go
@@ -140,6 +140,33 @@
 	}
 }
 
+// Guards against a system that is never founded because one seed ended before it had told whether it has a disk, and stays away: one lost
+// machine is within what must be borne.
+func TestAFirstStartBearsASilentSeed(t *testing.T) {
+	for index := range 3 {
+		t.Run(fmt.Sprintf("seed %d of 3", index+1), func(t *testing.T) {
+			testseeds.Each(t, 12, func(t *testing.T, seed int64) {
+				w := newStoppedWorld(t, seed, 6, 3, worldSizes)
+				w.tellsFirstStart = true
+				silent := w.machines[index]
+				silent.start()
+				for _, m := range w.machines {
+					if m != silent {
+						w.after(time.Duration(w.random.Intn(300))*time.Millisecond, m.start)
+					}
+				}
+				w.run(time.Duration(10+w.random.Intn(20)) * time.Millisecond)
+				silent.kill()
+				acknowledgedAt := w.acknowledgeSoon()
+				w.run(firstStartRecovery)
+				if systems := w.systems(); *acknowledgedAt == 0 || len(systems) != 1 {
+					t.Errorf("seed %d: acknowledged after %v; systems %v", seed, *acknowledgedAt, systems)
+				}
+			})
+		})
+	}
+}
+
 // acknowledgeSoon has an operator try to empty a zone, at one machine after the other, until it is acknowledged; it gives where that time
 // is written to.
 func (w *world) acknowledgeSoon() *time.Duration {
