--- a/internal/responses/transport.go
+++ b/internal/responses/transport.go
@@ -38,8 +38,7 @@
 	}}
 	response, err := t.base.RoundTrip(request.WithContext(httptrace.WithClientTrace(request.Context(), trace)))
 	if conn := used.Load(); err != nil && conn != nil {
-		// The parser may have taken what came before the bound for a malformed line.
-		if exceeded := conn.exceededError(); exceeded != nil {
+		if exceeded := conn.guard.err(); exceeded != nil {
 			return nil, errors.Join(exceeded, err)
 		}
 	}
