--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -59,6 +59,7 @@
 // send sends the request on the open connection and reads the response.
 func (e *execution) send(ctx context.Context, order Order) Event {
 	a := e.beginAttempt(order.Backend.Instance)
+	e.noteSend(a.instance)
 	e.exchange.target = a.instance
 	stop := sockets.AbortWhenDone(ctx, e.conn)
 	defer stop()
--- a/internal/gateway/execution.go
+++ b/internal/gateway/execution.go
@@ -139,6 +139,23 @@
 	}
 }
 
+// noteSend counts and logs a request that is about to be sent to a back end in slow start, or by rows that are not confirmed.
+func (e *execution) noteSend(instance string) {
+	local, now := e.gateway.options.Local(), e.now()
+	isCold, isStale := e.machine.choice.IsCold, e.gateway.areRowsStale(local, now)
+	if !isCold && !isStale {
+		return
+	}
+	if isCold {
+		e.gateway.stats.Cold.Add(1)
+	}
+	if isStale {
+		e.gateway.stats.Stale.Add(1)
+	}
+	e.gateway.options.Log.Debug("sent to a back end that is cold, or by old rows", "id", e.exchange.id, "instance", instance, "cold", isCold,
+		"ageMilliseconds", (now - local.FreshAt).Milliseconds(), "ms", e.elapsed().Milliseconds())
+}
+
 func (e *execution) refuse(order Order) {
 	e.gateway.options.Log.Debug("refused", "id", e.exchange.id, "service", e.machine.Service, "why", string(order.Refusal),
 		"reason", order.Reason, "ms", e.elapsed().Milliseconds())
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -81,6 +81,10 @@
 	Connections atomic.Uint64
 	// Overtaken are the choices that were given up since the rows changed while the connection was made.
 	Overtaken atomic.Uint64
+	// Cold are the requests that were sent to back ends in slow start, Stale those that were sent by rows which no majority has confirmed
+	// for as long as a configuration may take to be in force.
+	Cold  atomic.Uint64
+	Stale atomic.Uint64
 }
 
 // Gateway takes requests from callers.
@@ -115,6 +119,8 @@
 		"repeats":     g.stats.Repeats.Load(),
 		"connections": g.stats.Connections.Load(),
 		"overtaken":   g.stats.Overtaken.Load(),
+		"cold":        g.stats.Cold.Load(),
+		"stale":       g.stats.Stale.Load(),
 	}
 }
 
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -56,7 +56,7 @@
 	route := local.View.Route(hostOf(r), pathOf(r))
 	if route == nil {
 		g.logNoRoute(local, begun)
-		if g.mayLackRoutes(local, begun) {
+		if g.areRowsStale(local, begun) {
 			retryAfter := ComeBack(constants.RefuseAfterMove, g.waitOf(r, constants.RefuseUnknown), g.options.Draw)
 			g.refuse(w, id, RefusalNotReady, "this node's configuration is not confirmed; another node may know the route", retryAfter)
 			return
@@ -77,9 +77,9 @@
 	g.serveRoute(w, r, local, &options)
 }
 
-// mayLackRoutes tells whether a configuration may be in force that this node does not know: a majority has not confirmed its
-// rows for so long that one acknowledged since must be in force.
-func (g *Gateway) mayLackRoutes(local *controlplane.Local, now time.Duration) bool {
+// areRowsStale tells whether a change may be in force that this node does not know: a majority has not confirmed its rows for so
+// long that a configuration acknowledged since must be in force.
+func (g *Gateway) areRowsStale(local *controlplane.Local, now time.Duration) bool {
 	within := g.options.Bounds.ApplyWithin
 	return within > 0 && now-local.FreshAt >= within
 }
--- a/internal/leader/endpoints.go
+++ b/internal/leader/endpoints.go
@@ -5,6 +5,7 @@
 
 	"topazshed/internal/discovery"
 	"topazshed/internal/schema"
+	"topazshed/internal/store"
 )
 
 // entryEndpoints keeps the rows of back ends of a fleet of entries in line with the platform's list and with the nodes'
@@ -76,4 +77,23 @@
 	}
 	e.listing = nil
 	t.logger.Info("back ends change", "rows", len(record.Rows), "sinceReadMilliseconds", sinceRead.Milliseconds())
+	logSlowStarts(t, record, sinceRead)
+}
+
+// logSlowStarts logs which back ends a record puts into slow start, by whom they are sent to, and which it takes out of it.
+func logSlowStarts(t *turn, record *schema.Record, sinceRead time.Duration) {
+	for _, row := range record.Rows {
+		fresh := store.DecodeRow[schema.Backend](row)
+		if fresh == nil || row.Key != store.BackendKey(fresh.Service, fresh.Instance) {
+			continue
+		}
+		var old *schema.Backend
+		if service := t.View.Services[fresh.Service]; service != nil {
+			old = service.Backend(fresh.Instance)
+		}
+		if fresh.Cold != old.GetCold() {
+			t.logger.Info("slow start", "service", fresh.Service, "instance", fresh.Instance, "cold", fresh.Cold,
+				"senders", fresh.SlowStartSenders, "sinceReadMilliseconds", sinceRead.Milliseconds())
+		}
+	}
 }
