--- a/internal/constants/balancing.go
+++ b/internal/constants/balancing.go
@@ -36,7 +36,7 @@
 	ColdSpare = 1
 	// ColdWindow is the second in which requests to it are counted, longer by what a request may be on its way.
 	ColdWindow = 1100 * time.Millisecond
-	// ColdAfter is added to what the list says of how long it is warming up: its clock, the way and the replication of a row.
+	// ColdAfter is added to what the list says of how long it is warming up: its clock may be quicker.
 	ColdAfter = 200 * time.Millisecond
 	// MaxSlowStartSenders (nodes) share what it bears: whole requests a second remain for each.
 	MaxSlowStartSenders = 4
--- a/internal/discovery/list.go
+++ b/internal/discovery/list.go
@@ -51,8 +51,10 @@
 	// Slots is how many requests the back end works on at once.
 	Slots      uint32
 	IsDraining bool
-	// ColdLeft is how long the back end goes on warming up, counted from the beginning of the read.
+	// ColdLeft is how long the back end goes on warming up, counted from ReadAt.
 	ColdLeft time.Duration
+	// ReadAt is when its page had been answered, or a little later.
+	ReadAt time.Duration
 }
 
 // Listing is one read of the list of a fleet of routes.
--- a/internal/discovery/list_limiter.go
+++ b/internal/discovery/list_limiter.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"topazshed/internal/constants"
@@ -18,6 +19,8 @@
 	begunAt  time.Duration
 	reported int
 	examined int
+	// stamped are the back ends that this read has found, each with the time at which it was found.
+	stamped []Listed
 	// draining are the back ends that this read has found draining, wasDraining those of the read before.
 	draining, wasDraining map[backendID]bool
 }
@@ -39,10 +42,21 @@
 	l.begunAt = now
 	l.reported = 0
 	l.examined = 0
+	l.stamped = nil
 	l.draining, l.wasDraining = map[backendID]bool{}, l.draining
 	return now
 }
 
+// Stamp returns the back ends that the read under way has found so far, and notes that the new ones among them were found by now. The result
+// is never changed.
+func (l *ListLimiter) Stamp(now time.Duration, items []Listed) []Listed {
+	for _, item := range items[min(len(l.stamped), len(items)):] {
+		item.ReadAt = now
+		l.stamped = append(l.stamped, item)
+	}
+	return slices.Clone(l.stamped)
+}
+
 // Partial returns when the read under way began, and whether the back ends that it has found so far are to be taken now:
 // at once where one has begun to drain, and the pages of a long read as they come.
 func (l *ListLimiter) Partial(now time.Duration, items []Listed) (begunAt time.Duration, isDue bool) {
--- a/internal/discovery/list_limiter_test.go
+++ b/internal/discovery/list_limiter_test.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"topazshed/internal/constants"
+	"topazshed/internal/schema"
+	"topazshed/internal/store"
 )
 
 // A list of many pages under a small rate used to be read in one burst: its last pages were refused at each read, and so never seen.
@@ -172,3 +174,27 @@
 		t.Error("the part has changed")
 	}
 }
+
+// Guards against ending a slow start too early (FAILBACK): what a page says of it was counted from the begin of a read of many pages.
+func TestWhatAPageSaysOfASlowStartCountsFromItsAnswer(t *testing.T) {
+	limiter := NewListLimiter(0)
+	limiter.BeginRead(time.Hour)
+	first := limiter.Stamp(time.Hour+100*time.Millisecond, []Listed{cold("a", time.Second)})
+	whole := limiter.Stamp(time.Hour+700*time.Millisecond, []Listed{cold("a", time.Second), cold("b", time.Second)})
+	if first[0].ReadAt != time.Hour+100*time.Millisecond || whole[0].ReadAt != first[0].ReadAt || whole[1].ReadAt != time.Hour+700*time.Millisecond {
+		t.Fatalf("%v, %v", first, whole)
+	}
+	w := newWatchTest(t, 3)
+	w.now = time.Hour + 700*time.Millisecond
+	w.watch.Plan(WatchFacts{Now: w.now, View: store.Compile(w.table), Table: w.table, ColdRate: func(*schema.ServicePolicy) int { return 4 },
+		Listing: &Listing{Items: whole, BegunAt: time.Hour, IsComplete: true}})
+	for id, want := range map[string]time.Duration{"a": 1100 * time.Millisecond, "b": 1700 * time.Millisecond} {
+		if until := w.watch.coldUntil[newBackendID("copper", id)]; until < time.Hour+want {
+			t.Errorf("%s counts as cold until %v, want at least %v", id, until-time.Hour, want)
+		}
+	}
+	limiter.BeginRead(2 * time.Hour)
+	if again := limiter.Stamp(2*time.Hour, []Listed{cold("c", 0)}); len(again) != 1 || again[0].Instance != "c" {
+		t.Errorf("the next read has %v", again)
+	}
+}
--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -109,7 +109,7 @@
 		fresh.State = schema.BackendState_BACKEND_DRAINING
 	}
 	if item.ColdLeft > 0 {
-		w.coldUntil[id] = max(w.coldUntil[id], facts.Listing.BegunAt+item.ColdLeft+constants.ColdAfter)
+		w.coldUntil[id] = max(w.coldUntil[id], item.ReadAt+item.ColdLeft+constants.ColdAfter)
 	}
 	fresh.Cold = facts.Now < w.coldUntil[id]
 	if !fresh.Cold {
--- a/internal/discovery/watch_test.go
+++ b/internal/discovery/watch_test.go
@@ -54,6 +54,11 @@
 	if listing != nil && listing.BegunAt == 0 {
 		listing.BegunAt = w.now - 50*time.Millisecond
 	}
+	if listing != nil {
+		for i := range listing.Items {
+			listing.Items[i].ReadAt = listing.BegunAt
+		}
+	}
 	record := w.watch.Plan(WatchFacts{Now: w.now, View: store.Compile(w.table), Table: w.table, Listing: listing,
 		ColdRate: func(*schema.ServicePolicy) int { return w.coldRate }})
 	if record != nil {
--- a/internal/gateway/request_machine.go
+++ b/internal/gateway/request_machine.go
@@ -243,3 +243,6 @@
 	retryAfter := ComeBack(mean, m.Until-now, m.Draw)
 	return Order{Kind: OrderRefuse, Refusal: refusal, RetryAfter: retryAfter, Reason: m.reason}
 }
+
+// Sent notes that the request has left.
+func (m *RequestMachine) Sent(time.Duration) {}
--- a/internal/node/list_reader.go
+++ b/internal/node/list_reader.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"topazshed/internal/constants"
@@ -41,15 +40,16 @@
 		if err != nil {
 			listing.IsComplete, listing.Reason = false, err.Error()
 		}
-		listing.Items = items
+		listing.Items = r.pace.Stamp(r.node.Now(), items)
 		r.report(listing)
 	}
 }
 
 // turn reports what was read so far where that is due, and waits until the list may be called again.
 func (r *listReader) turn(ctx context.Context, refusals int, items []discovery.Listed) error {
-	if begun, isDue := r.pace.Partial(r.node.Now(), items); isDue {
-		r.report(discovery.Listing{BegunAt: begun, Items: slices.Clone(items)})
+	found := r.pace.Stamp(r.node.Now(), items)
+	if begun, isDue := r.pace.Partial(r.node.Now(), found); isDue {
+		r.report(discovery.Listing{BegunAt: begun, Items: found})
 	}
 	wait, err := r.pace.Reserve(r.node.Now(), refusals)
 	if err != nil || wait <= 0 {
