--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -117,7 +117,7 @@
 	}
 	fresh.Failing = !fresh.Cold && isSame && old.GetFailing()
 	switch {
-	case fresh.Cold && !old.GetCold():
+	case fresh.Cold && len(old.GetSlowStartSenders()) == 0:
 		fresh.SlowStartSenders = w.slowStartSenders(facts, fresh, service)
 	case fresh.Cold || fresh.Failing:
 		fresh.SlowStartSenders = old.GetSlowStartSenders()
--- a/internal/discovery/watch_test.go
+++ b/internal/discovery/watch_test.go
@@ -281,3 +281,17 @@
 		})
 	}
 }
+
+// Guards against two sets of senders in one second (FAILBACK): a failing back end on trial turned cold, and others were named beside those of its
+// trial, which may have used their share just before.
+func TestABackEndOnTrialKeepsItsSendersWhenItTurnsCold(t *testing.T) {
+	w := newWatchTest(t, 9)
+	w.plan(wholeListing(item("b")))
+	onTrial := w.backend("b")
+	onTrial.Failing, onTrial.SlowStartSenders = true, []string{"node-07", "node-08"}
+	w.put(store.EncodeRow(store.BackendKey("copper", "b"), onTrial))
+	w.plan(wholeListing(cold("b", 2*time.Second)))
+	if got := w.backend("b"); !got.Cold || !slices.Equal(got.SlowStartSenders, []string{"node-07", "node-08"}) {
+		t.Fatalf("senders %v, want those of the trial", got.SlowStartSenders)
+	}
+}
