gateway: a node whose rows are not confirmed asks back ends whether they are cold

A share of a cold back end came from a row, and whoever lacked the row was not bound. What a back end says goes before warm rows, and a share from rows that are not confirmed is void. In the calm nothing is asked. A restarted node asks until its rows are confirmed.

--- a/internal/constants/balancing.go
+++ b/internal/constants/balancing.go
@@ -38,6 +38,13 @@
 	ColdWindow = 1100 * time.Millisecond
 	// ColdAfter is added to what the list says of how long it is warming up: its clock may be quicker.
 	ColdAfter = 200 * time.Millisecond
+	// RowsConfirmedFor is how long after its rows were last confirmed a node sends by them without asking the back end: in the calm a
+	// source's rows are up to 0.75 s old, and it tells its readers each 0.4 s.
+	RowsConfirmedFor = 1250 * time.Millisecond
+	// WarmCheckEvery is how long what a back end said of its slow start is relied on: in that time it may begin one.
+	WarmCheckEvery = 250 * time.Millisecond
+	// WarmCheckWait is how long its answer is waited for.
+	WarmCheckWait = 400 * time.Millisecond
 	// MaxSlowStartSenders (nodes) share what it bears: whole requests a second remain for each.
 	MaxSlowStartSenders = 4
 )
--- a/internal/constants/replication.go
+++ b/internal/constants/replication.go
@@ -17,6 +17,9 @@
 	TransferTimeout = 2700 * time.Millisecond
 	// MaxTransferDoublings is how often TransferTimeout is doubled while transfers don't come in time.
 	MaxTransferDoublings = 2
+	// DeltaHeldUp is how much longer than a renewal's pause a delta repeats the same subscription, unless it was held up on its way: the pause
+	// between two deltas and two ways.
+	DeltaHeldUp = 600 * time.Millisecond
 	// SourceTryPause is how much longer a subscriber waits before each further source that it asks, so that a fleet without a
 	// majority does not overload the few machines that have the log.
 	SourceTryPause = 100 * time.Millisecond
--- a/internal/controlplane/local.go
+++ b/internal/controlplane/local.go
@@ -21,6 +21,9 @@
 	// FreshAt is the latest instant for which a majority has confirmed the rows, BehindAt since when the node lacks committed ones.
 	FreshAt  time.Duration
 	BehindAt time.Duration
+	// ConfirmedAt is about when a majority last confirmed the rows. Unlike FreshAt it leaves out how long messages were on their way, so that it
+	// is no promise, but in the calm is never old.
+	ConfirmedAt time.Duration
 	// LeaseUntil is when this node's lease of the leader ends.
 	LeaseUntil time.Duration
 	// ThawedAt is when this process last went on after it had stood still, TickAt when it last ticked.
@@ -62,6 +65,7 @@
 		IsFull:         c.isFull(),
 		FreshAt:        c.rowsFreshAt(),
 		BehindAt:       c.state.BehindSince(),
+		ConfirmedAt:    c.rowsConfirmedAt(),
 		LeaseUntil:     c.heartbeats.LeaseUntil(),
 		ThawedAt:       c.thawedAt,
 		TickAt:         c.tickedAt,
--- a/internal/controlplane/replication.go
+++ b/internal/controlplane/replication.go
@@ -75,6 +75,14 @@
 	return c.state.FreshAt()
 }
 
+// rowsConfirmedAt is about when a majority last confirmed this node's rows.
+func (c *Machine) rowsConfirmedAt() time.Duration {
+	if c.raft == nil {
+		return c.subscription.ConfirmedAt()
+	}
+	return c.state.FreshAt()
+}
+
 // Want asks for the rows of a service for the next minutes; a node that keeps the log has all rows.
 func (c *Machine) Want(now time.Duration, service string) {
 	c.now = now
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -24,6 +24,9 @@
 	Token string
 	// Tried are the instances that get no further attempt.
 	Tried []string
+	// AreRowsUnconfirmed says that a majority has not confirmed the rows lately. What they give this node of a slow start is void then, since
+	// others may have been given it meanwhile.
+	AreRowsUnconfirmed bool
 }
 
 // Refusal is why no back end may be tried now, as it stands in the body of the response.
@@ -102,12 +105,23 @@
 		return Choice{Refusal: RefusalBusy}
 	}
 	isColdOwner := isCold(s.View, backend)
+	if s.isColdUnknown(backend, isColdOwner) {
+		return Choice{Refusal: RefusalCold}
+	}
 	if isColdOwner && !s.Loads.MayCold(s.Now, backend.Instance, service.Policy, len(s.View.Nodes)) {
 		return Choice{Refusal: RefusalCold}
 	}
 	return Choice{Backend: backend, IsCold: isColdOwner}
 }
 
+// isColdUnknown tells whether a back end is in slow start, by the rows or its own word, and no confirmed row gives this node a share of it.
+func (s *Situation) isColdUnknown(backend *schema.Backend, isColdByRows bool) bool {
+	if isColdByRows {
+		return s.AreRowsUnconfirmed
+	}
+	return s.Loads.SaysCold(s.Now, backend.Instance)
+}
+
 // ownerOf is the untried, open back end that owns the request's key, or nil.
 func (s *Situation) ownerOf(service *store.Service) *schema.Backend {
 	shard := service.ShardRange(s.Key)
--- a/internal/gateway/choose_free.go
+++ b/internal/gateway/choose_free.go
@@ -82,6 +82,10 @@
 	c := candidate{backend: backend, isCold: isCold(f.View, backend)}
 	c.cost = f.cost(rank, backend, reading)
 	f.open++
+	if f.isColdUnknown(backend, c.isCold) {
+		f.refusal = RefusalCold
+		return
+	}
 	if reading.IsResting {
 		f.resting = append(f.resting, c)
 		return
--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -17,6 +17,8 @@
 	OrderWait
 	// OrderSend: send the request on the open connection and read the response.
 	OrderSend
+	// OrderCheckWarm: ask the back end on the open connection, by HealthPath, whether it is in slow start.
+	OrderCheckWarm
 	// OrderPass: pass the last response on to the caller. The request has ended.
 	OrderPass
 	// OrderRefuse: respond that the request has not run. The request has ended.
@@ -29,6 +31,8 @@
 type Order struct {
 	Kind    OrderKind
 	Backend *schema.Backend
+	// HealthPath is the path of an OrderCheckWarm.
+	HealthPath string
 	// Wait bounds an OrderConnect, or is how long an OrderWait takes.
 	Wait time.Duration
 	// Refusal and RetryAfter say why, and when to come back, for a request that has not run and never will.
@@ -49,6 +53,8 @@
 	EventBegun EventKind = iota
 	// EventConnected: a connection stands; nothing was written.
 	EventConnected
+	// EventChecked: the back end has told whether it is in slow start; the connection stands.
+	EventChecked
 	// EventUnreached: no connection came up, or it ended before a byte was written.
 	EventUnreached
 	// EventNotRun: the back end says that it did not run the request.
@@ -74,4 +80,7 @@
 	// IsForgotten says that the connection broke only because its back end had dropped it while it was idle, so that the back end may be
 	// tried again.
 	IsForgotten bool
+	// AreRowsUnconfirmed says that a majority has not confirmed this node's rows for so long that back ends must be asked whether they are
+	// in slow start.
+	AreRowsUnconfirmed bool
 }
--- a/internal/gateway/execution.go
+++ b/internal/gateway/execution.go
@@ -37,11 +37,15 @@
 	defer func() { e.gateway.stats.Repeats.Add(uint64(e.machine.Repeats)) }()
 	event := Event{Kind: EventBegun}
 	for isDone := false; !isDone; {
-		order := e.machine.Next(e.now(), e.gateway.options.Local().View, event)
+		local, now := e.gateway.options.Local(), e.now()
+		event.AreRowsUnconfirmed = e.gateway.areRowsUnconfirmed(local.ConfirmedAt, now)
+		order := e.machine.Next(now, local.View, event)
+		isUnused := event.Kind == EventConnected || event.Kind == EventChecked
+		isKept := order.Kind == OrderSend || order.Kind == OrderCheckWarm
 		switch {
-		case event.Kind == EventConnected && order.Kind != OrderSend:
+		case isUnused && !isKept:
 			e.returnUnused()
-		case e.conn != nil && order.Kind != OrderSend && order.Kind != OrderPass:
+		case e.conn != nil && !isKept && order.Kind != OrderPass:
 			e.releaseConn(e.isReusable)
 		}
 		event, isDone = e.perform(ctx, order)
@@ -54,6 +58,8 @@
 		return e.connect(ctx, order), false
 	case OrderWait:
 		return wait(ctx, order.Wait), false
+	case OrderCheckWarm:
+		return e.checkWarm(ctx, order), false
 	case OrderSend:
 		return e.send(ctx, order), false
 	case OrderPass:
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -38,6 +38,9 @@
 	NotRun string
 	// Key carries the key of a request for a keyed service.
 	Key string
+	// Instance tells in the response to a health check which instance answers, ColdLeft for how many milliseconds it is still in slow start.
+	Instance string
+	ColdLeft string
 }
 
 // DefaultNames are the product's own.
@@ -49,6 +52,8 @@
 		Target:   "Topazshed-Instance",
 		NotRun:   "Topazshed-Not-Run",
 		Key:      "Topazshed-Key",
+		Instance: "Topazshed-Instance",
+		ColdLeft: "Topazshed-Cold-Left",
 	}
 }
 
@@ -85,6 +90,8 @@
 	// for as long as a configuration may take to be in force.
 	Cold  atomic.Uint64
 	Stale atomic.Uint64
+	// WarmChecks are the health checks that asked back ends for their slow start.
+	WarmChecks atomic.Uint64
 }
 
 // Gateway takes requests from callers.
@@ -121,6 +128,7 @@
 		"overtaken":   g.stats.Overtaken.Load(),
 		"cold":        g.stats.Cold.Load(),
 		"stale":       g.stats.Stale.Load(),
+		"warm_checks": g.stats.WarmChecks.Load(),
 	}
 }
 
--- a/internal/gateway/loads.go
+++ b/internal/gateway/loads.go
@@ -33,6 +33,11 @@
 	restUntil time.Duration
 	// coldSends are when requests were sent to it within the last second, while it was cold.
 	coldSends []time.Duration
+	// askedAt is when it was last asked whether it is in slow start, and told; 0 is never. sentSinceAsked counts the requests that were sent on
+	// that answer, coldUntil is when the slow start ends that it told of.
+	askedAt        time.Duration
+	sentSinceAsked int
+	coldUntil      time.Duration
 }
 
 // loadStripe holds the back ends and services whose names fall on one stripe.
--- a/internal/gateway/request_machine.go
+++ b/internal/gateway/request_machine.go
@@ -49,6 +49,8 @@
 	chosenBy *store.View
 	// mayRun says that a back end may have run the request.
 	mayRun bool
+	// areRowsUnconfirmed is that of the newest event.
+	areRowsUnconfirmed bool
 	// reason is what went wrong last.
 	reason string
 }
@@ -60,12 +62,12 @@
 
 // Next takes an event and gives the next order.
 func (m *RequestMachine) Next(now time.Duration, view *store.View, e Event) Order {
+	m.areRowsUnconfirmed = e.AreRowsUnconfirmed
 	switch e.Kind {
-	case EventConnected:
-		if !m.isOvertaken(view) {
-			return m.send(now)
+	case EventConnected, EventChecked:
+		if order, mayGoOn := m.connected(now, view, e.Kind); mayGoOn {
+			return order
 		}
-		m.reason = "the back end was closed to requests while the connection was made"
 	case EventOversize:
 		return Order{Kind: OrderFail, Status: http.StatusRequestEntityTooLarge, Reason: e.Reason}
 	case EventAnswered:
@@ -94,6 +96,26 @@
 	return m.seek(now, view)
 }
 
+// connected sends the request on the open connection, after the back end was asked whether it is in slow start where the rows can't tell. It tells
+// false if another choice must be made.
+func (m *RequestMachine) connected(now time.Duration, view *store.View, event EventKind) (order Order, mayGoOn bool) {
+	chosen := m.choice.Backend
+	switch {
+	case m.isOvertaken(view):
+		m.reason = "the back end was closed to requests while the connection was made"
+		return Order{}, false
+	case !m.choice.IsCold && m.Loads.SaysCold(now, chosen.Instance):
+		m.reason = "the back end says that it is in slow start"
+		return Order{}, false
+	}
+	if event == EventConnected {
+		if path, isNeeded := m.mustAsk(now, view); isNeeded {
+			return Order{Kind: OrderCheckWarm, Backend: chosen, HealthPath: path}, true
+		}
+	}
+	return m.send(now), true
+}
+
 func (m *RequestMachine) send(now time.Duration) Order {
 	m.sent++
 	if m.choice.IsCold {
@@ -105,6 +127,9 @@
 // isOvertaken tells whether the rows have changed since the choice so that it would not be made again. Connecting takes time, and
 // nothing was sent yet.
 func (m *RequestMachine) isOvertaken(view *store.View) bool {
+	if m.choice.IsCold && m.areRowsUnconfirmed {
+		return true
+	}
 	if view == m.chosenBy {
 		return false
 	}
@@ -195,6 +220,8 @@
 		HasKey:  m.HasKey,
 		Token:   m.Token,
 		Tried:   m.tried,
+
+		AreRowsUnconfirmed: m.areRowsUnconfirmed,
 	})
 }
 
--- a/internal/gateway/slow_start_sum_test.go
+++ b/internal/gateway/slow_start_sum_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"topazshed/internal/constants"
 	"topazshed/internal/discovery"
 	"topazshed/internal/failover"
 	"topazshed/internal/schema"
@@ -35,8 +36,8 @@
 type coldNode struct {
 	self  *schema.Node
 	loads *Loads
-	// lag is how late rows reach it; cutAt is since when none do, or 0.
-	lag, cutAt time.Duration
+	// lag is how late rows reach it, age how old its rows' confirmation is in the calm; cutAt is since when none do, or 0.
+	lag, age, cutAt time.Duration
 	// stalledUntil is until when its process gets no processor.
 	stalledUntil time.Duration
 }
@@ -50,7 +51,7 @@
 
 // coldFaults are the faults that a play draws.
 type coldFaults struct {
-	slowReads, stalls, restarts, leaders, trials, zoneSeries bool
+	slowReads, stalls, restarts, leaders, trials, zoneSeries, cuts bool
 }
 
 // coldFleet plays the leader's watch, the list and the gateways of a fleet on virtual time, and counts what cold back ends get by the
@@ -90,8 +91,8 @@
 		due:    map[time.Duration][]func(){},
 		served: map[string]int{},
 	}
-	f.put(store.ServicePolicyKey("copper"), &schema.ServicePolicy{Service: "copper", ColdRate: 17})
-	f.put(store.ServicePolicyKey("zinc"), &schema.ServicePolicy{Service: "zinc", ColdRate: 4})
+	f.put(store.ServicePolicyKey("copper"), &schema.ServicePolicy{Service: "copper", ColdRate: 17, HealthPath: "/health"})
+	f.put(store.ServicePolicyKey("zinc"), &schema.ServicePolicy{Service: "zinc", ColdRate: 4, HealthPath: "/health"})
 	for number, zone := range []string{"kol-a", "kol-b", "tor-a"} {
 		// The world's own node of the zone.
 		f.addNode(fmt.Sprint("n", number+1), zone)
@@ -122,7 +123,12 @@
 func (f *coldFleet) addNode(id, zone string) {
 	self := &schema.Node{Id: id, Zone: zone, Region: zone[:3], State: schema.NodeState_NODE_READY}
 	f.put(store.NodeKey(id), self)
-	f.nodes = append(f.nodes, &coldNode{self: self, loads: NewLoads(f.now, bounds), lag: f.between(10*time.Millisecond, 400*time.Millisecond)})
+	f.nodes = append(f.nodes, &coldNode{
+		self:  self,
+		loads: NewLoads(f.now, bounds),
+		lag:   f.between(10*time.Millisecond, 400*time.Millisecond),
+		age:   f.between(300*time.Millisecond, 1150*time.Millisecond),
+	})
 }
 
 // start begins the life of a back end, cold for so long.
@@ -222,6 +228,7 @@
 }
 
 func (f *coldFleet) carry(n *coldNode, machine *RequestMachine, event Event) {
+	event.AreRowsUnconfirmed = f.now-n.confirmedAt(f.now) >= constants.RowsConfirmedFor
 	switch order := machine.Next(f.now, f.viewOf(n), event); order.Kind {
 	case OrderConnect:
 		n.loads.Begin(order.Backend.Instance)
@@ -233,6 +240,15 @@
 			n.loads.End(order.Backend.Instance, 0, false)
 			f.carry(n, machine, Event{Kind: EventConnected})
 		})
+	case OrderCheckWarm:
+		askedAt := f.now
+		f.after(f.between(coldStep, 30*time.Millisecond), func() {
+			left := max(0, f.backend(order.Backend.Instance).coldUntil-f.now)
+			f.after(f.between(coldStep, 30*time.Millisecond), func() {
+				n.loads.NoteWarmCheck(askedAt, f.now, order.Backend.Instance, left)
+				f.carry(n, machine, Event{Kind: EventChecked})
+			})
+		})
 	case OrderSend:
 		n.loads.Begin(order.Backend.Instance)
 		delay := n.stalledUntil - f.now
@@ -243,6 +259,18 @@
 	}
 }
 
+func (f *coldFleet) backend(instance string) *coldBackend {
+	return f.backends[slices.IndexFunc(f.backends, func(b *coldBackend) bool { return b.instance == instance })]
+}
+
+// confirmedAt is when the node's rows were last confirmed.
+func (n *coldNode) confirmedAt(now time.Duration) time.Duration {
+	if n.cutAt > 0 {
+		now = n.cutAt
+	}
+	return now - n.age
+}
+
 // send writes the request, which arrives a little later.
 func (f *coldFleet) send(n *coldNode, machine *RequestMachine, instance string) {
 	sentAt := f.now
@@ -253,8 +281,7 @@
 
 // arrive counts a request by the rule.
 func (f *coldFleet) arrive(instance string, sentAt time.Duration) {
-	i := slices.IndexFunc(f.backends, func(b *coldBackend) bool { return b.instance == instance })
-	b := f.backends[i]
+	b := f.backend(instance)
 	f.served[b.service]++
 	if f.now < b.coldFrom || f.now >= b.coldUntil {
 		return
@@ -270,10 +297,21 @@
 	}
 }
 
+// cutAndEvacuate cuts the nodes of a zone off from the rows, and shortly after that empties the zone for a short time.
+func (f *coldFleet) cutAndEvacuate(zone string) {
+	for _, n := range f.nodes {
+		if n.self.Zone == zone && n.cutAt == 0 {
+			n.cutAt = f.now
+			f.after(f.between(2*time.Second, 9*time.Second), func() { n.cutAt = 0 })
+		}
+	}
+	f.after(300*time.Millisecond, func() { f.evacuate(zone, false, f.between(900*time.Millisecond, 3*time.Second)) })
+}
+
 // evacuate empties a zone and gives it back with cold back ends; now and then twice in a row.
-func (f *coldFleet) evacuate(zone string, isAgain bool) {
+func (f *coldFleet) evacuate(zone string, isAgain bool, span time.Duration) {
 	f.putZone(zone, &schema.Zone{Emptied: true})
-	f.after(f.between(2500*time.Millisecond, 4*time.Second), func() {
+	f.after(span, func() {
 		for _, b := range f.backends {
 			if b.zone == zone {
 				f.turnCold(b)
@@ -281,7 +319,7 @@
 		}
 		f.putZone(zone, &schema.Zone{Settling: true})
 		if f.faults.zoneSeries && !isAgain && f.chance(60) {
-			f.after(f.between(0, 900*time.Millisecond), func() { f.evacuate(zone, true) })
+			f.after(f.between(0, 900*time.Millisecond), func() { f.evacuate(zone, true, f.between(2500*time.Millisecond, 4*time.Second)) })
 		}
 	})
 }
@@ -332,8 +370,10 @@
 	switch f.random.Int64N(3000) {
 	case 0, 1:
 		zone := []string{"kol-a", "kol-b", "tor-a"}[f.random.IntN(3)]
-		if z := store.DecodeRow[schema.Zone](f.table.Get(store.ZoneKey(zone))); !z.Emptied && !z.Settling {
-			f.evacuate(zone, false)
+		if z := store.DecodeRow[schema.Zone](f.table.Get(store.ZoneKey(zone))); !z.Emptied && !z.Settling && f.faults.cuts {
+			f.cutAndEvacuate(zone)
+		} else if !z.Emptied && !z.Settling {
+			f.evacuate(zone, false, f.between(2500*time.Millisecond, 4*time.Second))
 		}
 	case 2, 3, 4, 5, 6, 7:
 		service := []string{"copper", "zinc"}[f.random.IntN(2)]
@@ -406,7 +446,8 @@
 		{"changes of leader", coldFaults{leaders: true, slowReads: true}},
 		{"trials", coldFaults{trials: true}},
 		{"zones emptied twice", coldFaults{zoneSeries: true}},
-		{"all", coldFaults{true, true, true, true, true, true}},
+		{"nodes that are cut off", coldFaults{cuts: true}},
+		{"all", coldFaults{true, true, true, true, true, true, true}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			testseeds.Each(t, 6, func(t *testing.T, seed int64) {
--- /dev/null
+++ b/internal/gateway/warm_check.go
@@ -0,0 +1,174 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"topazshed/internal/constants"
+	"topazshed/internal/forwarding"
+	"topazshed/internal/schema"
+	"topazshed/internal/sockets"
+	"topazshed/internal/store"
+)
+
+// A node learns from its rows that a back end is in slow start. While a majority does not confirm the rows, it asks the back end itself before
+// it sends there: a health check, on the connection that the request will use, tells how long the slow start lasts.
+
+// WarmSends is how many requests a node may send to a back end on one answer to a health check: its part, one of so many, of what all nodes
+// together may send to a cold one, and one at least. The back end may turn cold right after its answer.
+func (l *Loads) WarmSends(policy *schema.ServicePolicy, nodes int) int {
+	return max(1, l.ColdRate(policy)/max(1, nodes))
+}
+
+// MaySendUnasked counts a request to a back end that told lately that it is not in slow start, unless so many were sent since it was asked.
+func (l *Loads) MaySendUnasked(now time.Duration, id string, sends int) bool {
+	s := l.lockStripe(id)
+	defer s.lock.Unlock()
+	i := s.instances[id]
+	if i == nil || i.askedAt == 0 || now-i.askedAt >= constants.WarmCheckEvery || i.sentSinceAsked >= sends {
+		return false
+	}
+	i.sentSinceAsked++
+	return true
+}
+
+// NoteWarmCheck notes that a back end said, asked at an instant, for how much longer it is in slow start; 0 is that it is not. The request that
+// asked may be sent then.
+func (l *Loads) NoteWarmCheck(askedAt, now time.Duration, id string, coldLeft time.Duration) {
+	s := l.lockStripe(id)
+	defer s.lock.Unlock()
+	i := s.instance(id)
+	if askedAt > i.askedAt {
+		i.askedAt = askedAt
+		i.sentSinceAsked = 1
+	}
+	if coldLeft > 0 {
+		i.coldUntil = max(i.coldUntil, now+coldLeft+constants.ColdAfter)
+	}
+}
+
+// SaysCold tells whether a back end has said that it is in slow start until later than now.
+func (l *Loads) SaysCold(now time.Duration, id string) bool {
+	s := l.lockStripe(id)
+	defer s.lock.Unlock()
+	i := s.instances[id]
+	return i != nil && now < i.coldUntil
+}
+
+// areRowsUnconfirmed tells whether a zone may have been emptied and restored since a majority last confirmed this node's rows.
+func (g *Gateway) areRowsUnconfirmed(confirmedAt, now time.Duration) bool {
+	return now-confirmedAt >= constants.RowsConfirmedFor
+}
+
+// mustAsk tells whether the chosen back end must be asked for its slow start before the request is sent, and where. One of a service without a
+// health check can't be asked.
+func (m *RequestMachine) mustAsk(now time.Duration, view *store.View) (healthPath string, isNeeded bool) {
+	service := view.Services[m.Service]
+	if !m.areRowsUnconfirmed || service == nil || service.Policy.GetHealthPath() == "" {
+		return "", false
+	}
+	sends := m.Loads.WarmSends(service.Policy, len(view.Nodes))
+	return service.Policy.GetHealthPath(), !m.Loads.MaySendUnasked(now, m.choice.Backend.Instance, sends)
+}
+
+// checkWarm asks the back end on the open connection whether it is in slow start.
+func (e *execution) checkWarm(ctx context.Context, order Order) Event {
+	ctx, cancel := context.WithTimeout(ctx, constants.WarmCheckWait)
+	defer cancel()
+	e.gateway.stats.WarmChecks.Add(1)
+	askedAt := e.now()
+	stop := sockets.AbortWhenDone(ctx, e.conn)
+	response, isReusable, err := e.askHealth(order)
+	if !stop() || err != nil {
+		return e.endWarmCheck("its health check had no answer")
+	}
+	names := e.gateway.options.Names
+	if instance := response.Get(names.Instance); instance != "" && instance != order.Backend.Instance {
+		return e.endWarmCheck("another back end answers at its address")
+	}
+	if response.Get(names.NotRun) != "" {
+		return e.endWarmCheck("it is too busy for a health check")
+	}
+	coldLeft := coldLeftOf(response.Get(names.ColdLeft))
+	e.gateway.loads.NoteWarmCheck(askedAt, e.now(), order.Backend.Instance, coldLeft)
+	if !isReusable {
+		return e.reconnect(ctx, order.Backend)
+	}
+	return Event{Kind: EventChecked}
+}
+
+// askHealth writes a health check and reads the header fields of its response, and whether the connection may carry a request after it.
+func (e *execution) askHealth(order Order) (header http.Header, isReusable bool, err error) {
+	question := &http.Request{
+		Method:     http.MethodGet,
+		URL:        &url.URL{Scheme: "http", Host: order.Backend.Address, Opaque: order.HealthPath},
+		Host:       order.Backend.Address,
+		Proto:      "HTTP/1.1",
+		ProtoMajor: 1,
+		ProtoMinor: 1,
+		// An empty value keeps net/http from writing its own.
+		Header: http.Header{"User-Agent": {""}},
+	}
+	if err := question.Write(e.conn.writer); err != nil {
+		return nil, false, err
+	}
+	if err := e.conn.writer.Flush(); err != nil {
+		return nil, false, err
+	}
+	for skipped := 0; ; skipped++ {
+		response, err := e.conn.reader.Next(question)
+		if err != nil {
+			return nil, false, err
+		}
+		_, isLonger, err := forwarding.ReadUpTo(response.Body, constants.KeepAnswer)
+		if err != nil {
+			return nil, false, err
+		}
+		isLast := response.Close || hasNoLength(response) || isLonger
+		isSurplus := response.Header.Get(e.gateway.options.Names.Attempt) != ""
+		if !isSurplus {
+			return response.Header, !isLast && skipped == 0, nil
+		}
+		if isLast || skipped >= constants.MaxSurplus {
+			return nil, false, &BrokenError{Reason: "an answer of a request came for a health check"}
+		}
+	}
+}
+
+// coldLeftOf reads how many milliseconds a slow start lasts; a field that can't be read counts as one that has not ended.
+func coldLeftOf(field string) time.Duration {
+	if field == "" {
+		return 0
+	}
+	left, err := strconv.ParseFloat(field, 64)
+	if err != nil {
+		return constants.WarmCheckEvery
+	}
+	return max(0, time.Duration(left*float64(time.Millisecond)))
+}
+
+// endWarmCheck closes the connection of a back end that did not tell whether it is in slow start; nothing was sent to it.
+func (e *execution) endWarmCheck(reason string) Event {
+	e.conn.Close()
+	e.conn = nil
+	e.gateway.loads.End(e.instance, 0, false)
+	abortIfCanceled(e.request.Context())
+	return Event{Kind: EventUnreached, Reason: reason}
+}
+
+// reconnect opens another connection in place of one that ended with the response to a health check.
+func (e *execution) reconnect(ctx context.Context, backend *schema.Backend) Event {
+	e.conn.Close()
+	conn, err := e.gateway.pool.Get(ctx, backend, constants.WarmCheckWait, e.machine.Route.Repeatable)
+	if err != nil {
+		e.conn = nil
+		e.gateway.loads.End(e.instance, 0, false)
+		abortIfCanceled(e.request.Context())
+		return Event{Kind: EventUnreached, Reason: err.Error()}
+	}
+	e.conn = conn
+	return Event{Kind: EventChecked}
+}
--- a/internal/replication/subscription.go
+++ b/internal/replication/subscription.go
@@ -99,6 +99,7 @@
 	comparedAt  time.Duration
 	homeAskedAt time.Duration
 	freshAt     time.Duration
+	confirmedAt time.Duration
 }
 
 // NewSubscription makes a Subscription that holds no rows and has no source yet.
@@ -125,6 +126,9 @@
 // FreshAt is the latest instant for which a majority has confirmed the rows; 0 is never.
 func (s *Subscription) FreshAt() time.Duration { return s.freshAt }
 
+// ConfirmedAt is about when a majority last confirmed the rows, as if the newest delta had taken no time on its way; 0 is never.
+func (s *Subscription) ConfirmedAt() time.Duration { return s.confirmedAt }
+
 // Held are the prefixes whose rows this reader has. The map is never changed once it is given out.
 func (s *Subscription) Held() map[string]bool { return s.held }
 
@@ -209,6 +213,7 @@
 	}
 	if age < maxReportedAge {
 		s.freshAt = max(s.freshAt, askedAt-age)
+		s.confirmedAt = max(s.confirmedAt, s.estimateConfirmed(now, askedAt)-age)
 	}
 	effects := Effects{IsInstalled: true, Changed: changed}
 	if delta.Leader != "" && age < constants.NodeLostAfter {
@@ -217,6 +222,15 @@
 	return effects
 }
 
+// estimateConfirmed is about when a delta was sent: now, unless it answers a subscription that should have been renewed since, so that it was held
+// up on its way.
+func (s *Subscription) estimateConfirmed(now, askedAt time.Duration) time.Duration {
+	if now-askedAt > s.options.RenewEvery+constants.DeltaHeldUp {
+		return askedAt
+	}
+	return now
+}
+
 // takeProbeAnswer asks a member for rows whose own are confirmed, unless others are on their way. A reader without rows takes any.
 func (s *Subscription) takeProbeAnswer(now time.Duration, from string, answer *schema.Delta) Effects {
 	age := time.Duration(answer.AgeMs) * time.Millisecond
