gateway: a request to a cold back end is held until its bytes have left

A node's share of a cold back end was counted from when the connection stood. The share is now held from the choice on and counted from when the bytes have left; what is not sent is released. The search for a back end no longer counts the cold ones that it passes over.

TestColdBackEndsAreCountedWhenTheyAreSentTo now tells the machine when a request has left.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -64,6 +64,7 @@
 	stop := sockets.AbortWhenDone(ctx, e.conn)
 	defer stop()
 	writeErr := e.exchange.write(e.conn, e.machine.Until-a.begun)
+	e.machine.Sent(e.now())
 	if err := e.exchange.streamErr(); err != nil && ctx.Err() == nil {
 		a.end(ctx, false)
 		return e.bodyFailed(err)
--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -49,7 +49,7 @@
 type Choice struct {
 	Backend *schema.Backend
 	Refusal Refusal
-	// IsCold says that the attempt was counted for a cold back end.
+	// IsCold says that the attempt is held of this node's share of a cold back end; see Loads.HoldCold.
 	IsCold bool
 }
 
@@ -108,7 +108,7 @@
 	if s.isColdUnknown(backend, isColdOwner) {
 		return Choice{Refusal: RefusalCold}
 	}
-	if isColdOwner && !s.Loads.MayCold(s.Now, backend.Instance, service.Policy, len(s.View.Nodes)) {
+	if isColdOwner && !s.Loads.HoldCold(s.Now, backend.Instance, service.Policy, len(s.View.Nodes)) {
 		return Choice{Refusal: RefusalCold}
 	}
 	return Choice{Backend: backend, IsCold: isColdOwner}
--- a/internal/gateway/choose_free.go
+++ b/internal/gateway/choose_free.go
@@ -40,7 +40,18 @@
 	ejected []candidate
 }
 
+// chooseFree searches again where other requests have taken the room at the cold back end that was found.
 func (s *Situation) chooseFree(service *store.Service, groups []failover.ActiveGroup) Choice {
+	for range constants.MaxSearches {
+		choice := s.searchFree(service, groups)
+		if !choice.IsCold || s.Loads.HoldCold(s.Now, choice.Backend.Instance, service.Policy, len(choice.Backend.SlowStartSenders)) {
+			return choice
+		}
+	}
+	return Choice{Refusal: RefusalCold}
+}
+
+func (s *Situation) searchFree(service *store.Service, groups []failover.ActiveGroup) Choice {
 	search := freeSearch{
 		Situation: *s,
 		service:   service,
@@ -76,7 +87,7 @@
 	return max(1, sharers)
 }
 
-// consider weighs one open, untried back end. Its order of draws and of counts for cold back ends is part of a seed's history.
+// consider weighs one open, untried back end. Its order of draws is part of a seed's history.
 func (f *freeSearch) consider(rank int, backend *schema.Backend) {
 	reading := f.Loads.Read(f.Now, backend.Instance)
 	c := candidate{backend: backend, isCold: isCold(f.View, backend)}
@@ -105,7 +116,7 @@
 	if !f.isBetter(c) {
 		return
 	}
-	if c.isCold && !f.Loads.MayCold(f.Now, backend.Instance, f.service.Policy, len(backend.SlowStartSenders)) {
+	if c.isCold && !f.Loads.HasColdRoom(f.Now, backend.Instance, f.service.Policy, len(backend.SlowStartSenders)) {
 		f.refusal = RefusalCold
 		return
 	}
--- a/internal/gateway/execution.go
+++ b/internal/gateway/execution.go
@@ -34,6 +34,7 @@
 func (e *execution) run() {
 	ctx, cancel := context.WithTimeout(e.request.Context(), e.machine.Until-e.machine.Begun)
 	defer cancel()
+	defer e.machine.Abandon()
 	defer func() { e.gateway.stats.Repeats.Add(uint64(e.machine.Repeats)) }()
 	event := Event{Kind: EventBegun}
 	for isDone := false; !isDone; {
--- a/internal/gateway/limits_test.go
+++ b/internal/gateway/limits_test.go
@@ -122,6 +122,7 @@
 		connecting = slices.DeleteFunc(connecting, func(p pending) bool {
 			if p.at <= now {
 				p.machine.Next(now, view, Event{Kind: EventConnected})
+				p.machine.Sent(now)
 				sends = append(sends, now)
 			}
 			return p.at <= now
--- a/internal/gateway/loads.go
+++ b/internal/gateway/loads.go
@@ -31,8 +31,9 @@
 	delay     float64
 	failures  int
 	restUntil time.Duration
-	// coldSends are when requests were sent to it within the last second, while it was cold.
+	// coldSends are when requests had left for it within the last second, while it was cold; coldHeld are those that have not left yet.
 	coldSends []time.Duration
+	coldHeld  int
 	// askedAt is when it was last asked whether it is in slow start, and told; 0 is never. sentSinceAsked counts the requests that were sent on
 	// that answer, coldUntil is when the slow start ends that it told of.
 	askedAt        time.Duration
--- a/internal/gateway/request_machine.go
+++ b/internal/gateway/request_machine.go
@@ -44,7 +44,8 @@
 	searches int
 	tried    []string
 	choice   Choice
-	chosenAt time.Duration
+	// isHeld says that the choice is held of this node's share of a cold back end, and that the request has not left yet.
+	isHeld bool
 	// chosenBy is the view that the choice rests on.
 	chosenBy *store.View
 	// mayRun says that a back end may have run the request.
@@ -60,8 +61,32 @@
 	return &RequestMachine{RequestOptions: options}
 }
 
-// Next takes an event and gives the next order.
+// Next takes an event and gives the next order. After an OrderSend the caller must call Sent, and Abandon if it carries out no further orders.
 func (m *RequestMachine) Next(now time.Duration, view *store.View, e Event) Order {
+	order := m.next(now, view, e)
+	if order.Kind != OrderConnect && order.Kind != OrderCheckWarm && order.Kind != OrderSend {
+		m.Abandon()
+	}
+	return order
+}
+
+// Sent notes that the request has left now.
+func (m *RequestMachine) Sent(now time.Duration) {
+	if m.isHeld {
+		m.Loads.ColdSent(now, m.choice.Backend.Instance)
+	}
+	m.isHeld = false
+}
+
+// Abandon notes that the request will not be sent to the back end that was chosen last, unless it has left already.
+func (m *RequestMachine) Abandon() {
+	if m.isHeld {
+		m.Loads.ReleaseCold(m.choice.Backend.Instance)
+	}
+	m.isHeld = false
+}
+
+func (m *RequestMachine) next(now time.Duration, view *store.View, e Event) Order {
 	m.areRowsUnconfirmed = e.AreRowsUnconfirmed
 	switch e.Kind {
 	case EventConnected, EventChecked:
@@ -113,14 +138,11 @@
 			return Order{Kind: OrderCheckWarm, Backend: chosen, HealthPath: path}, true
 		}
 	}
-	return m.send(now), true
+	return m.send(), true
 }
 
-func (m *RequestMachine) send(now time.Duration) Order {
+func (m *RequestMachine) send() Order {
 	m.sent++
-	if m.choice.IsCold {
-		m.Loads.ColdSent(m.chosenAt, now, m.choice.Backend.Instance)
-	}
 	return Order{Kind: OrderSend, Backend: m.choice.Backend}
 }
 
@@ -183,7 +205,10 @@
 	if m.searches > constants.MaxSearches || !m.IsReplayable && m.sent > 0 {
 		return m.end(now, RefusalBusy)
 	}
+	m.Abandon()
 	choice := m.choose(now, view)
+	m.choice = choice
+	m.isHeld = choice.IsCold
 	if choice.Backend == nil {
 		if choice.Refusal == RefusalMoving && m.mayWaitForOwner(now) {
 			// Waiting for an owner is no search.
@@ -201,8 +226,6 @@
 		}
 		m.Repeats++
 	}
-	m.choice = choice
-	m.chosenAt = now
 	m.chosenBy = view
 	return Order{Kind: OrderConnect, Backend: choice.Backend, Wait: min(constants.BackendConnect, m.Until-now)}
 }
@@ -270,6 +293,3 @@
 	retryAfter := ComeBack(mean, m.Until-now, m.Draw)
 	return Order{Kind: OrderRefuse, Refusal: refusal, RetryAfter: retryAfter, Reason: m.reason}
 }
-
-// Sent notes that the request has left.
-func (m *RequestMachine) Sent(time.Duration) {}
