--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -33,17 +33,23 @@
 	countedAt time.Duration
 	// coldUntil holds when a back end has warmed up.
 	coldUntil map[backendID]time.Duration
-	// settlingSince holds when a zone was first seen settling, after it was given back to traffic.
-	settlingSince map[string]time.Duration
+	// settling holds the zones that were given back to traffic and may be cold.
+	settling map[string]settlingZone
+}
+
+// settlingZone is a zone as it was first seen after it was given back to traffic: the index of its row, and when.
+type settlingZone struct {
+	index uint64
+	since time.Duration
 }
 
 // NewWatch returns a Watch for a list that may be behind by lag.
 func NewWatch(lag time.Duration) *Watch {
 	return &Watch{
-		lag:           lag,
-		missingReads:  map[backendID]int{},
-		coldUntil:     map[backendID]time.Duration{},
-		settlingSince: map[string]time.Duration{},
+		lag:          lag,
+		missingReads: map[backendID]int{},
+		coldUntil:    map[backendID]time.Duration{},
+		settling:     map[string]settlingZone{},
 	}
 }
 
@@ -62,12 +68,16 @@
 	return changes.recordOrNil()
 }
 
+// noteSettling notes the zones that settle. One whose row has another index was emptied and given back once more.
 func (w *Watch) noteSettling(facts WatchFacts) {
 	for name, zone := range facts.View.Zones {
 		if !zone.Settling {
-			delete(w.settlingSince, name)
-		} else if _, isNoted := w.settlingSince[name]; !isNoted {
-			w.settlingSince[name] = facts.Now
+			delete(w.settling, name)
+			continue
+		}
+		index := facts.Table.Get(store.ZoneKey(name)).Index
+		if noted, isNoted := w.settling[name]; !isNoted || noted.index != index {
+			w.settling[name] = settlingZone{index: index, since: facts.Now}
 		}
 	}
 }
@@ -169,8 +179,8 @@
 // endSettling marks the zones as settled that were given back to traffic long enough before this read began for the
 // list to show it.
 func (w *Watch) endSettling(facts WatchFacts, changes *changes) {
-	for _, name := range slices.Sorted(maps.Keys(w.settlingSince)) {
-		if facts.Listing.BegunAt < w.settlingSince[name]+w.lag+constants.SettleMargin {
+	for _, name := range slices.Sorted(maps.Keys(w.settling)) {
+		if facts.Listing.BegunAt < w.settling[name].since+w.lag+constants.SettleMargin {
 			continue
 		}
 		fresh := proto.Clone(facts.View.Zones[name]).(*schema.Zone)
--- a/internal/discovery/watch_test.go
+++ b/internal/discovery/watch_test.go
@@ -295,3 +295,29 @@
 		t.Fatalf("senders %v, want those of the trial", got.SlowStartSenders)
 	}
 }
+
+// Guards against taking the back ends of a zone for warm too early (FAILBACK): a zone that was emptied and restored once more between two steps
+// of a leader that stood still counted as restored the first time.
+func TestAZoneThatIsRestoredAgainSettlesAnew(t *testing.T) {
+	w := newWatchTest(t, 3)
+	restored := func(isEmptied bool) {
+		w.put(store.EncodeRow(store.ZoneKey("kol-a"), &schema.Zone{Name: "kol-a", Region: "kol", Emptied: isEmptied, Settling: !isEmptied}))
+	}
+	w.plan(wholeListing(item("a")))
+	restored(true)
+	w.plan(nil)
+	restored(false)
+	w.plan(nil)
+	w.now += lag + constants.SettleMargin
+	restored(true)
+	restored(false)
+	w.plan(wholeListing(item("a")))
+	if zone := store.DecodeRow[schema.Zone](w.table.Get(store.ZoneKey("kol-a"))); !zone.Settling {
+		t.Fatal("a list from before the second time has ended the settling")
+	}
+	w.now += lag + constants.SettleMargin
+	w.plan(wholeListing(item("a")))
+	if zone := store.DecodeRow[schema.Zone](w.table.Get(store.ZoneKey("kol-a"))); zone.Settling {
+		t.Fatal("the zone settles for ever")
+	}
+}
