--- a/internal/leader/endpoints.go
+++ b/internal/leader/endpoints.go
@@ -63,6 +63,10 @@
 
 // planListed plans on a listing until a record that follows from it is proposed, or none does.
 func (e *routeEndpoints) planListed(t *turn) {
+	if e.listing != nil && e.listing.BegunAt < t.fleet.electedAt {
+		// A former leader may have planned on a newer one.
+		e.listing = nil
+	}
 	record := e.watch.Plan(discovery.WatchFacts{Now: t.Now, View: t.View, Table: t.Table, Listing: e.listing, ColdRate: e.coldRate})
 	if record == nil {
 		e.listing = nil
--- a/internal/leader/endpoints_test.go
+++ b/internal/leader/endpoints_test.go
@@ -106,3 +106,28 @@
 		})
 	}
 }
+
+// Guards against taking a cold back end for warm after a change of leader (FAILBACK): a read of the list that began before this node was elected
+// does not show what a former leader has seen since.
+func TestAReadFromBeforeTheElectionIsNotPlannedOn(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		begun time.Duration
+		want  int
+	}{
+		{"before", startedAt - time.Second, 0},
+		{"after", startedAt + time.Millisecond, 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			r := newRoutes(&RouteOptions{ColdRate: func(*schema.ServicePolicy) int { return 1 }}, signer{})
+			proposer, fleet := &fakeProposer{}, NewFleet()
+			fleet.Elected(startedAt)
+			item := discovery.Listed{Service: "s", Instance: "i", Address: "i", Zone: "z", Slots: 1}
+			r.take(startedAt, Listing{discovery.Listing{Items: []discovery.Listed{item}, BegunAt: c.begun, IsComplete: true}})
+			r.endpoints.plan(&turn{State: newState(t, startedAt, regionRow, zoneRow), fleet: fleet, proposer: proposer, logger: slog.New(slog.DiscardHandler)})
+			if len(proposer.records) != c.want || r.endpoints.listing != nil {
+				t.Errorf("proposed %v, want %d records", proposer.records, c.want)
+			}
+		})
+	}
+}
