--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -108,6 +108,10 @@
 	if s.isColdUnknown(backend, isColdOwner) {
 		return Choice{Refusal: RefusalCold}
 	}
+	if isColdOwner && s.View.Nodes[s.Self.Id] == nil {
+		// The nodes that are in the rows share it.
+		return Choice{Refusal: RefusalCold}
+	}
 	if isColdOwner && !s.Loads.HoldCold(s.Now, backend.Instance, service.Policy, len(s.View.Nodes)) {
 		return Choice{Refusal: RefusalCold}
 	}
--- a/internal/gateway/warm_check_test.go
+++ b/internal/gateway/warm_check_test.go
@@ -213,3 +213,18 @@
 		}
 	}
 }
+
+// Guards against more shares of a cold owner of keys than there are nodes (FAILBACK): a node that was started anew serves before its row is there.
+func TestANodeThatIsNotInTheRowsSendsNothingToAColdOwner(t *testing.T) {
+	w := newWorld(t)
+	w.put(store.ServicePolicyKey("copper"), &schema.ServicePolicy{Service: "copper", ColdRate: 16, Keyed: true})
+	w.put(store.ShardRangeKey("copper", 0), &schema.ShardRange{Service: "copper", Last: 65535, Instance: "a", Fence: 1})
+	w.backend("a", "kol-a", "10.0.0.1:1", isColdBy("n1"))
+	for id, want := range map[string]Refusal{"n1": RefusalNone, "n9": RefusalCold} {
+		choice := Choose(Situation{Now: time.Hour, View: w.settle(), Self: &schema.Node{Id: id, Zone: "kol-a", Region: "kol"}, Loads: NewLoads(0, bounds),
+			Draw: func(int64) int64 { return 0 }, Route: &schema.Route{TargetMs: 300}, Service: "copper", HasKey: true, Token: "x"})
+		if choice.Refusal != want {
+			t.Errorf("%s is refused %q, want %q", id, choice.Refusal, want)
+		}
+	}
+}
