--- a/internal/gateway/choose.go
+++ b/internal/gateway/choose.go
@@ -101,11 +101,12 @@
 	if !s.isAllowed(groups, s.View.Zones[backend.Zone].Region) {
 		return Choice{Refusal: RefusalMoving}
 	}
-	if s.Loads.Read(s.Now, backend.Instance).IsResting {
+	reading := s.Loads.Read(s.Now, backend.Instance)
+	if reading.IsResting {
 		return Choice{Refusal: RefusalBusy}
 	}
 	isColdOwner := isCold(s.View, backend)
-	if s.isColdUnknown(backend, isColdOwner) {
+	if s.isColdUnknown(reading, isColdOwner) {
 		return Choice{Refusal: RefusalCold}
 	}
 	if isColdOwner && s.View.Nodes[s.Self.Id] == nil {
@@ -119,11 +120,11 @@
 }
 
 // isColdUnknown tells whether a back end is in slow start, by the rows or its own word, and no confirmed row gives this node a share of it.
-func (s *Situation) isColdUnknown(backend *schema.Backend, isColdByRows bool) bool {
+func (s *Situation) isColdUnknown(reading Reading, isColdByRows bool) bool {
 	if isColdByRows {
 		return s.AreRowsUnconfirmed
 	}
-	return s.Loads.SaysCold(s.Now, backend.Instance)
+	return reading.SaysCold
 }
 
 // ownerOf is the untried, open back end that owns the request's key, or nil.
--- a/internal/gateway/choose_free.go
+++ b/internal/gateway/choose_free.go
@@ -93,7 +93,7 @@
 	c := candidate{backend: backend, isCold: isCold(f.View, backend)}
 	c.cost = f.cost(rank, backend, reading)
 	f.open++
-	if f.isColdUnknown(backend, c.isCold) {
+	if f.isColdUnknown(reading, c.isCold) {
 		f.refusal = RefusalCold
 		return
 	}
--- a/internal/gateway/loads.go
+++ b/internal/gateway/loads.go
@@ -136,6 +136,8 @@
 	// Delay is 0 if no request was served yet.
 	Delay     time.Duration
 	IsResting bool
+	// SaysCold tells that the back end has said that it is in slow start until later than now.
+	SaysCold bool
 }
 
 // Read gives a back end's reading.
@@ -146,7 +148,12 @@
 	if i == nil {
 		return Reading{}
 	}
-	return Reading{InFlight: i.inFlight, Delay: time.Duration(i.delay), IsResting: now < i.restUntil}
+	return Reading{
+		InFlight:  i.inFlight,
+		Delay:     time.Duration(i.delay),
+		IsResting: now < i.restUntil,
+		SaysCold:  now < i.coldUntil,
+	}
 }
 
 // Failing are the back ends that rest now, in no order.
--- a/internal/gateway/request_machine.go
+++ b/internal/gateway/request_machine.go
@@ -129,7 +129,7 @@
 	case m.isOvertaken(view):
 		m.reason = "the back end was closed to requests while the connection was made"
 		return Order{}, false
-	case !m.choice.IsCold && m.Loads.SaysCold(now, chosen.Instance):
+	case !m.choice.IsCold && m.Loads.Read(now, chosen.Instance).SaysCold:
 		m.reason = "the back end says that it is in slow start"
 		return Order{}, false
 	}
--- a/internal/gateway/warm_check.go
+++ b/internal/gateway/warm_check.go
@@ -50,14 +50,6 @@
 	}
 }
 
-// SaysCold tells whether a back end has said that it is in slow start until later than now.
-func (l *Loads) SaysCold(now time.Duration, id string) bool {
-	s := l.lockStripe(id)
-	defer s.lock.Unlock()
-	i := s.instances[id]
-	return i != nil && now < i.coldUntil
-}
-
 // areRowsUnconfirmed tells whether a zone may have been emptied and restored since a majority last confirmed this node's rows.
 func (g *Gateway) areRowsUnconfirmed(confirmedAt, now time.Duration) bool {
 	return now-confirmedAt >= constants.RowsConfirmedFor
--- a/internal/gateway/warm_check_test.go
+++ b/internal/gateway/warm_check_test.go
@@ -180,7 +180,7 @@
 func TestWhatABackEndSaidOfItsSlowStartIsReliedOnForAWhile(t *testing.T) {
 	const asked, sends = time.Hour, 3
 	l := NewLoads(0, bounds)
-	if l.MaySendUnasked(asked, "i", sends) || l.SaysCold(asked, "i") {
+	if l.MaySendUnasked(asked, "i", sends) || l.Read(asked, "i").SaysCold {
 		t.Error("a back end that was never asked")
 	}
 	l.NoteWarmCheck(asked, asked+20*time.Millisecond, "i", 0)
@@ -197,7 +197,7 @@
 		t.Error("what it said counts from the question, not from the answer")
 	}
 	l.NoteWarmCheck(asked+time.Second, asked+time.Second, "i", 2*time.Second)
-	if !l.SaysCold(asked+3*time.Second, "i") || l.SaysCold(asked+3*time.Second+constants.ColdAfter, "i") {
+	if !l.Read(asked+3*time.Second, "i").SaysCold || l.Read(asked+3*time.Second+constants.ColdAfter, "i").SaysCold {
 		t.Error("it is cold for as long as it said, and ColdAfter")
 	}
 }
