operations: a restored zone settles also if it was never emptied

Its operator restores the zone all the same, with cold back ends, and the restoration of an open zone changed nothing. It settles now until a list from after its lag has shown them. The test failed before (answered without a change).

--- a/internal/operations/decide_test.go
+++ b/internal/operations/decide_test.go
@@ -128,6 +128,37 @@
 	}
 }
 
+// Guards against taking cold back ends for warm (FAILBACK): the request to empty their zone had not come through when its operator restored it.
+func TestARestoredZoneSettlesAlsoIfItWasNeverEmptied(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		settles bool
+		zone    *schema.Zone
+		kind    schema.OperatorKind
+		want    string
+	}{
+		{"never emptied", true, &schema.Zone{Name: "z"}, schema.OperatorKind_OPERATOR_RESTORE, "propose"},
+		{"restored and settling: the same request again", true, &schema.Zone{Name: "z", Settling: true}, schema.OperatorKind_OPERATOR_RESTORE, "answer REFUSAL_NONE"},
+		{"emptied: the same request again", true, &schema.Zone{Name: "z", Emptied: true}, schema.OperatorKind_OPERATOR_EMPTY, "answer REFUSAL_NONE"},
+		{"a fleet of entries", false, &schema.Zone{Name: "z"}, schema.OperatorKind_OPERATOR_RESTORE, "answer REFUSAL_NONE"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			h := newHost(t, nil)
+			h.put(store.EncodeRow(store.ZoneKey("z"), c.zone))
+			decider := &zoneDecider{state: h, proposer: h, fleet: h, settles: c.settles}
+			decided := decider.decide(&schema.OperatorRequest{Kind: c.kind, Zone: "z"})
+			if got := kindOf(t, decided); got != c.want {
+				t.Fatalf("%s, want %s", got, c.want)
+			}
+			if wanted, isProposal := decided.(propose); isProposal {
+				if zone := store.DecodeRow[schema.Zone](wanted.record.Rows[0]); !zone.Settling || zone.Emptied {
+					t.Errorf("%v", zone)
+				}
+			}
+		})
+	}
+}
+
 func TestOnlyFleetsOfRoutesSettleARestoredZone(t *testing.T) {
 	for _, settles := range []bool{false, true} {
 		h := newHost(t, nil)
--- a/internal/operations/zone.go
+++ b/internal/operations/zone.go
@@ -36,7 +36,9 @@
 	if zone == nil {
 		return refuseOnState(unknown(0, "zone "+request.Zone+" is not known", "see status for the names"))
 	}
-	if zone.Emptied == isEmptied && !d.proposer.IsInFlight(key) {
+	// The back ends of a zone that is restored may have turned cold, also where the request to empty it has not come through.
+	isSettled := isEmptied || !d.settles || zone.Settling
+	if zone.Emptied == isEmptied && isSettled && !d.proposer.IsInFlight(key) {
 		return answer{&schema.OperatorResponse{Index: row.Index, Unconfirmed: d.fleet.Unconfirmed(raft.Index(row.Index))}}
 	}
 	if request.Base != noZoneBase && request.Base != row.Index {
