gateway: back ends are asked for a while after the rows are confirmed again

Nodes knew that they had been without a leader: while rows are not confirmed, and for 3 s after that, back ends are asked (shares of a slow start are void only while rows are not confirmed).

--- a/internal/constants/balancing.go
+++ b/internal/constants/balancing.go
@@ -41,6 +41,9 @@
 	// RowsConfirmedFor is how long after its rows were last confirmed a node sends by them without asking the back end: in the calm a
 	// source's rows are up to 0.75 s old, and it tells its readers each 0.4 s.
 	RowsConfirmedFor = 1250 * time.Millisecond
+	// WarmCheckAfter is how much longer it asks once its rows are confirmed again: a request to empty a zone may not have come through
+	// meanwhile, and the zone's back ends turn cold all the same, which the list shows later.
+	WarmCheckAfter = 3 * time.Second
 	// WarmCheckEvery is how long what a back end said of its slow start is relied on: in that time it may begin one.
 	WarmCheckEvery = 250 * time.Millisecond
 	// WarmCheckWait is how long its answer is waited for.
--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -80,7 +80,8 @@
 	// IsForgotten says that the connection broke only because its back end had dropped it while it was idle, so that the back end may be
 	// tried again.
 	IsForgotten bool
-	// AreRowsUnconfirmed says that a majority has not confirmed this node's rows for so long that back ends must be asked whether they are
-	// in slow start.
+	// AreRowsUnconfirmed says that a majority has not confirmed this node's rows lately, MayMissSlowStarts that back ends must be asked whether they
+	// are in slow start, since the rows may not say so.
 	AreRowsUnconfirmed bool
+	MayMissSlowStarts  bool
 }
--- a/internal/gateway/execution.go
+++ b/internal/gateway/execution.go
@@ -40,6 +40,7 @@
 	for isDone := false; !isDone; {
 		local, now := e.gateway.options.Local(), e.now()
 		event.AreRowsUnconfirmed = e.gateway.areRowsUnconfirmed(local.ConfirmedAt, now)
+		event.MayMissSlowStarts = e.gateway.mayMissSlowStarts(event.AreRowsUnconfirmed, now)
 		order := e.machine.Next(now, local.View, event)
 		isUnused := event.Kind == EventConnected || event.Kind == EventChecked
 		isKept := order.Kind == OrderSend || order.Kind == OrderCheckWarm
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -103,6 +103,8 @@
 	pressure *Pressure
 	inFlight atomic.Int64
 	stopping atomic.Bool
+	// unconfirmedAt is when the rows were last seen to be unconfirmed, a time.Duration of the node's clock.
+	unconfirmedAt atomic.Int64
 	// noRouteLoggedAt is when a request that no route fits was last logged, a time.Duration of the node's clock.
 	noRouteLoggedAt atomic.Int64
 }
@@ -110,6 +112,7 @@
 // New makes a gateway without connections.
 func New(options Options) *Gateway {
 	g := &Gateway{options: options, loads: NewLoads(options.Now(), options.Bounds), pressure: NewPressure()}
+	g.unconfirmedAt.Store(int64(options.Now()))
 	g.pool = NewPool(options.Listen, &g.stats)
 	return g
 }
--- a/internal/gateway/request_machine.go
+++ b/internal/gateway/request_machine.go
@@ -50,8 +50,9 @@
 	chosenBy *store.View
 	// mayRun says that a back end may have run the request.
 	mayRun bool
-	// areRowsUnconfirmed is that of the newest event.
+	// areRowsUnconfirmed and mayMissSlowStarts are those of the newest event.
 	areRowsUnconfirmed bool
+	mayMissSlowStarts  bool
 	// reason is what went wrong last.
 	reason string
 }
@@ -88,6 +89,7 @@
 
 func (m *RequestMachine) next(now time.Duration, view *store.View, e Event) Order {
 	m.areRowsUnconfirmed = e.AreRowsUnconfirmed
+	m.mayMissSlowStarts = e.MayMissSlowStarts
 	switch e.Kind {
 	case EventConnected, EventChecked:
 		if order, mayGoOn := m.connected(now, view, e.Kind); mayGoOn {
--- a/internal/gateway/warm_check.go
+++ b/internal/gateway/warm_check.go
@@ -55,11 +55,19 @@
 	return now-confirmedAt >= constants.RowsConfirmedFor
 }
 
+// mayMissSlowStarts tells whether back ends may be in slow start without a row that says so: the rows are not confirmed, or were not shortly before.
+func (g *Gateway) mayMissSlowStarts(areRowsUnconfirmed bool, now time.Duration) bool {
+	if areRowsUnconfirmed {
+		g.unconfirmedAt.Store(int64(now))
+	}
+	return now-time.Duration(g.unconfirmedAt.Load()) < constants.WarmCheckAfter
+}
+
 // mustAsk tells whether the chosen back end must be asked for its slow start before the request is sent, and where. One of a service without a
 // health check can't be asked.
 func (m *RequestMachine) mustAsk(now time.Duration, view *store.View) (healthPath string, isNeeded bool) {
 	service := view.Services[m.Service]
-	if !m.areRowsUnconfirmed || service == nil || service.Policy.GetHealthPath() == "" {
+	if !m.mayMissSlowStarts || service == nil || service.Policy.GetHealthPath() == "" {
 		return "", false
 	}
 	sends := m.Loads.WarmSends(service.Policy, len(view.Nodes))
--- a/internal/gateway/warm_check_test.go
+++ b/internal/gateway/warm_check_test.go
@@ -43,6 +43,8 @@
 	f := newFront(t, backends...)
 	view := f.gateway.options.Local().View
 	view.Services["copper"].Policy.HealthPath = healthPath
+	// What it may have missed before its start plays no part here.
+	f.gateway.unconfirmedAt.Store(0)
 	f.gateway.options.Local = func() *controlplane.Local {
 		now := f.gateway.options.Now()
 		return &controlplane.Local{View: view, FreshAt: now - age, ConfirmedAt: now - age}
@@ -260,3 +262,31 @@
 		t.Errorf("%d requests and %d checks, want 2 and 2", requests, checks)
 	}
 }
+
+// Guards against flooding back ends of a zone whose emptying never came through (FAILBACK): its operator restores it all the same, with cold
+// back ends, which the list shows later.
+func TestBackEndsAreAskedForAWhileAfterTheRowsAreConfirmedAgain(t *testing.T) {
+	f := newUnconfirmedFront(t, 0)
+	now := 2 * time.Hour
+	for _, c := range []struct {
+		name             string
+		after            time.Duration
+		isUnconfirmed    bool
+		asks, voidsShare bool
+	}{
+		{"confirmed for long", 0, false, false, false},
+		{"not confirmed", time.Second, true, true, true},
+		{"confirmed again", time.Second + time.Millisecond, false, true, false},
+		{"still within the time", time.Second + constants.WarmCheckAfter - 1, false, true, false},
+		{"after it", time.Second + constants.WarmCheckAfter, false, false, false},
+	} {
+		confirmedAt := now + c.after
+		if c.isUnconfirmed {
+			confirmedAt -= constants.RowsConfirmedFor
+		}
+		isUnconfirmed := f.gateway.areRowsUnconfirmed(confirmedAt, now+c.after)
+		if asks := f.gateway.mayMissSlowStarts(isUnconfirmed, now+c.after); asks != c.asks || isUnconfirmed != c.voidsShare {
+			t.Errorf("%s: asks %v, shares are void %v", c.name, asks, isUnconfirmed)
+		}
+	}
+}
