node: the test of a start that waits holds the address until the start waits

It holds the address until the log tells of the wait, so that a start that does not wait fails always; the bound of the time after the former process's end is the same.

--- a/internal/node/start_wait_test.go
+++ b/internal/node/start_wait_test.go
@@ -1,12 +1,14 @@
 package node_test
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
 	"log/slog"
 	"net"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -67,12 +69,22 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			begun := time.Now()
-			time.AfterFunc(formerEndsAfter, func() { release() })
-			var log strings.Builder
-			err = startNode(context.Background(), s, slog.New(slog.NewTextHandler(&log, nil)))
-			if took := time.Since(begun); err != nil || took < formerEndsAfter || took > startBound {
-				t.Errorf("after %v: %v", took, err)
+			log := &waitingLog{waits: make(chan struct{})}
+			released := make(chan time.Time, 1)
+			go func() {
+				// The steps before this one take as long as the disk does.
+				select {
+				case <-log.waits:
+				case <-time.After(startBound):
+				}
+				time.Sleep(formerEndsAfter)
+				released <- time.Now()
+				release()
+			}()
+			err = startNode(context.Background(), s, slog.New(slog.NewTextHandler(log, nil)))
+			ended := time.Now()
+			if took := ended.Sub(<-released); err != nil || took < 0 || took > startBound {
+				t.Errorf("%v after the former process ended: %v", took, err)
 			}
 			if !strings.Contains(log.String(), "the start waits") || !strings.Contains(log.String(), "the start goes on") {
 				t.Errorf("the log does not tell of the wait: %s", log.String())
@@ -81,6 +93,29 @@
 	}
 }
 
+// waitingLog keeps a log, and tells as soon as it says that a start waits.
+type waitingLog struct {
+	lock  sync.Mutex
+	text  strings.Builder
+	waits chan struct{}
+	tells sync.Once
+}
+
+func (l *waitingLog) Write(line []byte) (int, error) {
+	l.lock.Lock()
+	defer l.lock.Unlock()
+	if bytes.Contains(line, []byte("the start waits")) {
+		l.tells.Do(func() { close(l.waits) })
+	}
+	return l.text.Write(line)
+}
+
+func (l *waitingLog) String() string {
+	l.lock.Lock()
+	defer l.lock.Unlock()
+	return l.text.String()
+}
+
 func holdAddress(address string) (release func() error, err error) {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
